--- /dev/null
+++ b/include/kingcupshunt/peer/message_kind.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+
+namespace kingcupshunt::peer {
+
+/// Kind of a message between instances. Values are part of the protocol and are never reused.
+enum class message_kind : std::uint16_t {
+  membership_probe = 1,
+  membership_probe_ack = 2,
+  membership_probe_request = 3,
+  freshness_query = 10,
+  freshness_answer = 11,
+  freshness_aggregate = 12,
+  log_append = 20,
+  log_append_answer = 21,
+  log_vote = 22,
+  log_vote_answer = 23,
+  log_snapshot_chunk = 24,
+  log_snapshot_answer = 25,
+  log_timeout_now = 26,
+  state_propose = 30,
+  state_proposal_answer = 31,
+  state_fetch_delta = 32,
+  state_delta = 33,
+  state_held_revision = 34,
+  rate_ask = 40,
+  rate_grant = 41,
+  health_evidence = 50,
+  health_verdicts = 51,
+  registry_update = 60,
+  registry_digest = 61,
+  crash_suspects = 70,
+  load_report = 71,
+};
+
+} // namespace kingcupshunt::peer
--- /dev/null
+++ b/include/kingcupshunt/proxy/hooks.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "kingcupshunt/base/result.h"
+#include "kingcupshunt/health/attempt.h"
+#include "kingcupshunt/proxy/refusal.h"
+#include "kingcupshunt/proxy/request_head.h"
+
+namespace kingcupshunt::proxy {
+
+template <class T>
+using decided = base::result<T, refusal>;
+
+/// Where to send one try.
+struct upstream_target {
+  std::string id; ///< "ip:port"
+  std::string address;
+  std::uint16_t port = 0;
+};
+
+/// An answer kept for resends of a non-repeatable request.
+struct stored_answer {
+  unsigned status = 0;
+  std::string content_type;
+  std::string body;
+};
+
+/// Outcome of asking for a reservation of an idempotency key.
+struct reservation {
+  std::uint64_t attempt_id = 0;        ///< names the attempt that may send
+  std::optional<stored_answer> answer; ///< set: the request ran before, give this answer
+};
+
+/// Decisions that the entry asks for. All are called on the instance's event loop; those with a
+/// `done` argument call it exactly once, at once or later, on the same loop.
+struct hooks {
+  /// Checks key, route and freshness. Called for every request, not for every connection.
+  std::function<decided<authorized_request>(const request_head&)> authorize;
+
+  /// Takes a token of the workspace's rate and waits for a turn in the service's queue.
+  std::function<void(const request_head&, const authorized_request&,
+                     std::function<void(decided<void>)> done)>
+      admit;
+
+  /// Gives the turn taken by `admit` back.
+  std::function<void(const authorized_request&)> finish;
+
+  /// Chooses an upstream other than those in `tried`; takes one slot there until `report`.
+  std::function<decided<upstream_target>(const authorized_request&, std::uint64_t fingerprint,
+                                         const std::vector<std::string>& tried)>
+      pick;
+
+  /// Tells how a try ended and gives its slot back.
+  std::function<void(const authorized_request&, const health::attempt&)> report;
+
+  /// Whether another try is allowed after `last`. Called only when time is left.
+  std::function<bool(const authorized_request&, const health::attempt& last)> may_retry;
+
+  /// Time after which a lookup may be sent a second time; empty when it may not.
+  std::function<std::optional<base::duration>(const authorized_request&)> hedge_delay;
+
+  /// Reserves the idempotency key of a non-repeatable request before its first byte is sent.
+  std::function<void(const request_head&, const authorized_request&, std::uint64_t fingerprint,
+                     std::function<void(decided<reservation>)> done)>
+      reserve;
+
+  /// Stores the answer of a reservation. Without an answer the key stays "may have run".
+  std::function<void(std::uint64_t attempt_id, std::optional<stored_answer>)> complete;
+
+  /// Releases a reservation whose request certainly did not run.
+  std::function<void(std::uint64_t attempt_id)> release;
+};
+
+} // namespace kingcupshunt::proxy
--- /dev/null
+++ b/include/kingcupshunt/proxy/request_head.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "kingcupshunt/base/time.h"
+#include "kingcupshunt/config/entities.h"
+
+namespace kingcupshunt::proxy {
+
+/// The parts of a request's head that decisions rest on.
+struct request_head {
+  std::string request_id;
+  std::string method;
+  std::string host; ///< without port
+  std::string path; ///< without query
+  std::string caller_address;
+  std::optional<std::string> bearer_key;
+  std::optional<std::string> idempotency_key;
+  std::optional<std::uint64_t> content_length; ///< empty: chunked or no body
+};
+
+/// A request whose route and workspace are known.
+struct authorized_request {
+  std::shared_ptr<const config::service> service;
+  std::shared_ptr<const config::route> route;
+  std::shared_ptr<const config::workspace> workspace; ///< null on a route open to all
+  base::time_point deadline;
+};
+
+} // namespace kingcupshunt::proxy
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
--- /dev/null
+++ b/tests/config/snapshot_test.cpp
@@ -0,0 +1,104 @@
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include "kingcupshunt/config/snapshot.h"
+
+using namespace kingcupshunt;
+
+namespace {
+
+const std::string digest_a(64, 'a');
+const std::string digest_b(64, 'b');
+
+config::files base_files() {
+  return {{"10-base.json", R"({
+    // comments are allowed
+    "services": {"fitting": {"secret_sha256": ")" +
+                               digest_a + R"(", "floor": 0.6}},
+    "routes": {"fit": {"service": "fitting", "prefix": "/fit"},
+               "hold": {"service": "fitting", "prefix": "/fit/hold", "methods": ["POST"],
+                        "is_repeatable": false}},
+    "workspaces": {"optician-1": {"rate": 5}},
+    "keys": {"k1": {"workspace": "optician-1", "sha256": ")" +
+                               digest_b + R"("}}
+  })"}};
+}
+
+config::error error_of(const config::files& all) {
+  auto parsed = config::parse(all);
+  REQUIRE(!parsed);
+  return parsed.error();
+}
+
+} // namespace
+
+TEST_CASE("a later file changes only what it states and null removes a member") {
+  auto all = base_files();
+  all["20-change.json"] =
+      R"({"workspaces": {"optician-1": {"burst": 7}}, "routes": {"hold": null}})";
+  auto parsed = config::parse(all);
+  REQUIRE(parsed);
+  const auto ws = parsed.value().find_workspace("optician-1");
+  CHECK(ws->rate == 5);
+  CHECK(ws->burst == 7);
+  CHECK(parsed.value().routes().size() == 1);
+}
+
+TEST_CASE("the longest prefix by whole segments and the method choose the route") {
+  auto parsed = config::parse(base_files());
+  REQUIRE(parsed);
+  const auto& s = parsed.value();
+  CHECK(s.find_route("h", "POST", "/fit/hold/7")->name == "hold");
+  CHECK(s.find_route("h", "GET", "/fit/hold/7")->name == "fit");
+  CHECK(s.find_route("h", "GET", "/fit")->name == "fit");
+  CHECK(s.find_route("h", "GET", "/fitting") == nullptr);
+}
+
+TEST_CASE("an error names file, pointer and what is allowed") {
+  auto all = base_files();
+  all["20-bad.json"] = R"({"services": {"fitting": {"floor": 1.5}}})";
+  auto e = error_of(all);
+  CHECK(e.code == config::error_code::out_of_range);
+  CHECK(e.file == "20-bad.json");
+  CHECK(e.pointer == "/services/fitting/floor");
+
+  all["20-bad.json"] = "{\n  \"services\": }";
+  e = error_of(all);
+  CHECK(e.code == config::error_code::not_json);
+  CHECK(e.detail.find("line 2") != std::string::npos);
+
+  all["20-bad.json"] = R"({"routes": {"fit": {"colour": 1}}})";
+  CHECK(error_of(all).code == config::error_code::unknown_member);
+  all["20-bad.json"] = R"({"routes": {"fit": {"service": "none"}}})";
+  CHECK(error_of(all).code == config::error_code::unknown_reference);
+  all["20-bad.json"] = R"({"routes": {"fit2": {"service": "fitting", "prefix": "/fit/"}}})";
+  CHECK(error_of(all).code == config::error_code::duplicate);
+}
+
+TEST_CASE("a key put in place of its hash is not repeated in the error") {
+  auto all = base_files();
+  all["20-bad.json"] = R"({"keys": {"k1": {"sha256": "kcs_secret"}}})";
+  CHECK(config::describe(error_of(all)).find("kcs_secret") == std::string::npos);
+}
+
+TEST_CASE("a delta brings an older snapshot to the newer document") {
+  auto all = base_files();
+  const auto before = config::merge(all).value();
+  auto held = config::parse(all).value();
+  all["20.json"] = R"({"keys": {"k1": {"is_withdrawn": true}}, "routes": {"hold": null}})";
+  const auto delta = config::make_delta(before, config::merge(all).value());
+  CHECK(delta.size() == 2);
+  REQUIRE(held.apply(delta));
+  base::sha256_digest digest{};
+  REQUIRE(base::parse_hex(digest_b, digest));
+  CHECK(held.find_key(digest)->is_withdrawn);
+  CHECK(held.find_route("", "POST", "/fit/hold")->name == "fit");
+}
+
+TEST_CASE("a delta with an error changes nothing") {
+  auto held = config::parse(base_files()).value();
+  const auto delta = nlohmann::json::parse(
+      R"({"routes": {"fit": null}, "workspaces": {"optician-1": {"rate": -1}}})");
+  CHECK(!held.apply(delta));
+  CHECK(held.find_route("", "GET", "/fit") != nullptr);
+}
