--- /dev/null
+++ b/include/kingcupshunt/control/http_client.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+
+#include "kingcupshunt/base/result.h"
+#include "kingcupshunt/base/time.h"
+#include "kingcupshunt/control/http_message.h"
+
+namespace kingcupshunt::control {
+
+/// Why a blocking call got no answer.
+struct http_client_error {
+  std::string message;
+};
+
+/// Sends one request to "ip:port" and waits for the answer. Blocks; for command line programs.
+base::result<http_response, http_client_error>
+call(const std::string& endpoint, const std::string& method, const std::string& target,
+     const std::string& body, base::milliseconds timeout);
+
+} // namespace kingcupshunt::control
--- /dev/null
+++ b/include/kingcupshunt/control/http_server.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "kingcupshunt/base/time.h"
+#include "kingcupshunt/control/http_message.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace kingcupshunt::control {
+
+struct http_server_settings {
+  std::string address;
+  std::uint16_t port = 0;
+  std::size_t body_limit = 16U << 20U; ///< bytes; a larger body is refused with 413
+  std::size_t connections = 1024;      ///< more are closed at once
+  base::milliseconds timeout{30'000};  ///< for one request and its answer
+};
+
+/// HTTP/1.1 server for small requests: announcements and operators' calls. Runs on the event loop
+/// of `io`; the handler is called there.
+class http_server {
+public:
+  /// Binds and listens. Throws boost::system::system_error when the address can't be bound.
+  http_server(boost::asio::io_context& io, http_server_settings settings, http_handler handler);
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
+  /// Stops accepting; connections end after their present request.
+  void stop();
+
+private:
+  struct impl;
+  std::shared_ptr<impl> impl_;
+};
+
+} // namespace kingcupshunt::control
--- /dev/null
+++ b/include/kingcupshunt/node/config_folder.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "kingcupshunt/base/result.h"
+#include "kingcupshunt/config/document.h"
+
+namespace kingcupshunt::node {
+
+enum class folder_error_code {
+  missing,    ///< the folder does not exist or is not a folder
+  unreadable, ///< a file can't be read
+  too_large,  ///< a file or the folder exceeds the limit
+};
+
+const char* message_of(folder_error_code code) noexcept;
+
+struct folder_error {
+  folder_error_code code = folder_error_code::missing;
+  std::string path;
+};
+
+/// Greatest size of all files of a configuration folder together, in bytes.
+inline constexpr std::size_t max_folder_bytes = 512U << 20U;
+
+/// Reads all files of `folder` whose names end in ".json" and don't start with a dot.
+base::result<config::files, folder_error> read_folder(const std::string& folder);
+
+/// Tells when a folder has changed and come to rest.
+class folder_watch {
+public:
+  explicit folder_watch(std::string folder) : folder_(std::move(folder)) {}
+
+  /// Reads the folder. Returns its files when they are the same in two scans in a row, so that a
+  /// file that is being written is not taken; empty otherwise.
+  base::result<std::optional<config::files>, folder_error> scan();
+
+private:
+  std::string folder_;
+  std::optional<config::files> last_;
+};
+
+} // namespace kingcupshunt::node
--- /dev/null
+++ b/src/control/http_server.cpp
@@ -0,0 +1,184 @@
+#include "kingcupshunt/control/http_server.h"
+
+#include <optional>
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "kingcupshunt/observe/event_log.h"
+
+namespace kingcupshunt::control {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+using stream = beast::tcp_stream;
+using parsed_request = http::request<http::string_body>;
+
+constexpr std::uint32_t header_limit_bytes = 16 * 1024;
+
+std::string to_lower(std::string_view text) {
+  std::string out(text);
+  for (auto& c : out) {
+    c = c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c;
+  }
+  return out;
+}
+
+bool convert(parsed_request& in, const stream& socket, http_request& out) {
+  out.method = std::string(in.method_string());
+  for (const auto& field : in) {
+    out.headers[to_lower(std::string(field.name_string()))] = std::string(field.value());
+  }
+  out.body = std::move(in.body());
+  error_code ec;
+  out.caller_address = socket.socket().remote_endpoint(ec).address().to_string();
+  return parse_target(std::string(in.target()), out);
+}
+
+// Waits until the handler has called `done`, on the event loop that runs the coroutine.
+asio::awaitable<http_response> run_handler(const http_handler& handler, http_request request) {
+  struct pending {
+    explicit pending(const asio::any_io_executor& executor) : timer(executor) {}
+    asio::steady_timer timer;
+    std::optional<http_response> response;
+  };
+  const auto executor = co_await asio::this_coro::executor;
+  const auto state = std::make_shared<pending>(executor);
+  state->timer.expires_at(asio::steady_timer::time_point::max());
+  handler(request, [state](http_response response) {
+    state->response = std::move(response);
+    state->timer.cancel();
+  });
+  while (!state->response) {
+    error_code ec;
+    co_await state->timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+  }
+  co_return std::move(*state->response);
+}
+
+http::response<http::string_body> to_beast(http_response in, unsigned version, bool keep_alive) {
+  http::response<http::string_body> out;
+  out.version(version);
+  out.result(in.status);
+  out.set(http::field::content_type, in.content_type);
+  out.set(http::field::cache_control, "no-store");
+  out.keep_alive(keep_alive);
+  out.body() = std::move(in.body);
+  out.prepare_payload();
+  return out;
+}
+
+} // namespace
+
+struct http_server::impl : std::enable_shared_from_this<http_server::impl> {
+  impl(asio::io_context& io, http_server_settings s, http_handler h)
+      : settings(std::move(s)), handler(std::move(h)), acceptor(io) {
+    const tcp::endpoint at(asio::ip::make_address(settings.address), settings.port);
+    acceptor.open(at.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(at);
+    acceptor.listen();
+  }
+
+  asio::awaitable<void> accept_loop() {
+    const auto self = shared_from_this();
+    while (acceptor.is_open()) {
+      error_code ec;
+      tcp::socket socket(acceptor.get_executor());
+      co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, ec));
+      if (ec) {
+        // Out of file descriptors and the like: wait rather than spin.
+        asio::steady_timer pause(acceptor.get_executor(), base::milliseconds(100));
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        continue;
+      }
+      if (open_connections < settings.connections) {
+        asio::co_spawn(acceptor.get_executor(), serve(std::move(socket)), asio::detached);
+      }
+    }
+  }
+
+  asio::awaitable<void> serve(tcp::socket socket) {
+    const auto self = shared_from_this();
+    ++open_connections;
+    stream connection(std::move(socket));
+    beast::flat_buffer buf;
+    while (acceptor.is_open() && co_await serve_one(connection, buf)) {
+    }
+    error_code ec;
+    connection.socket().shutdown(tcp::socket::shutdown_both, ec);
+    --open_connections;
+  }
+
+  // Answers one request. Returns whether the connection can carry another.
+  asio::awaitable<bool> serve_one(stream& connection, beast::flat_buffer& buf) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(settings.body_limit);
+    parser.header_limit(header_limit_bytes);
+    connection.expires_after(settings.timeout);
+    error_code ec;
+    co_await http::async_read(connection, buf, parser,
+                              asio::redirect_error(asio::use_awaitable, ec));
+    if (ec == http::error::end_of_stream || ec == beast::error::timeout) {
+      co_return false;
+    }
+    http_response response;
+    bool keep_alive = false;
+    unsigned version = 11;
+    if (ec) {
+      const bool too_large = ec == http::error::body_limit;
+      response = error_response(too_large ? 413 : 400, too_large ? "body_too_large" : "bad_request",
+                                ec.message());
+    } else {
+      auto parsed = parser.release();
+      keep_alive = parsed.keep_alive();
+      version = parsed.version();
+      http_request request;
+      if (convert(parsed, connection, request)) {
+        connection.expires_never();
+        response = co_await run_handler(handler, std::move(request));
+        connection.expires_after(settings.timeout);
+      } else {
+        response = error_response(400, "bad_target", "the request target can't be decoded");
+      }
+    }
+    auto out = to_beast(std::move(response), version, keep_alive && acceptor.is_open());
+    co_await http::async_write(connection, out, asio::redirect_error(asio::use_awaitable, ec));
+    co_return !ec && out.keep_alive();
+  }
+
+  http_server_settings settings;
+  http_handler handler;
+  tcp::acceptor acceptor;
+  std::size_t open_connections = 0;
+};
+
+http_server::http_server(asio::io_context& io, http_server_settings settings, http_handler handler)
+    : impl_(std::make_shared<impl>(io, std::move(settings), std::move(handler))) {
+  asio::co_spawn(io, impl_->accept_loop(), asio::detached);
+}
+
+http_server::~http_server() {
+  stop();
+}
+
+void http_server::stop() {
+  error_code ec;
+  impl_->acceptor.close(ec);
+}
+
+} // namespace kingcupshunt::control
