--- a/include/kingcupshunt/auth/key.h
+++ b/include/kingcupshunt/auth/key.h
@@ -9,7 +9,7 @@
 
 /// A new workspace key or service secret and the hash that goes into the configuration folder.
 struct generated_key {
-  std::string text;           ///< "kcs_" and 64 hexadecimal digits; shown once, stored nowhere
+  std::string text;             ///< "kcs_" and 64 hexadecimal digits; shown once, stored nowhere
   base::sha256_digest sha256{}; ///< of the whole text
 };
 
--- a/include/kingcupshunt/settings/process_settings.h
+++ b/include/kingcupshunt/settings/process_settings.h
@@ -18,6 +18,9 @@
   std::string to_string() const;
 };
 
+/// Parses "ip:port" or "[ipv6]:port" with a port from 1 to 65535. False on any other text.
+bool parse_endpoint(const std::string& text, endpoint& out);
+
 /// An instance that keeps the replicated log.
 struct voter {
   std::string id;
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -29,26 +29,6 @@
          inet_pton(AF_INET6, text.c_str(), &buf) == 1;
 }
 
-bool parse_endpoint(const std::string& text, endpoint& out) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return false;
-  }
-  auto host = text.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  const auto* first = text.data() + colon + 1;
-  const auto* last = text.data() + text.size();
-  std::uint16_t port = 0;
-  const auto [end, ec] = std::from_chars(first, last, port);
-  if (ec != std::errc{} || end != last || port == 0 || !is_ip_address(host)) {
-    return false;
-  }
-  out = endpoint{host, port};
-  return true;
-}
-
 void read_endpoint(object_reader& reader, std::string_view name, endpoint& out) {
   std::string text;
   reader.require(name);
@@ -71,7 +51,7 @@
 result<std::string> read_secret(const std::string& file) {
   struct stat info {};
   if (stat(file.c_str(), &info) != 0) {
-    return error{error_code::unreadable, file, "the fleet secret's file does not exist"};
+    return error{error_code::unreadable, file, "the secret's file does not exist"};
   }
   if ((info.st_mode & (S_IRWXG | S_IRWXO)) != 0) {
     return error{error_code::insecure_file, file, "allowed is mode 600 or 400"};
@@ -85,7 +65,7 @@
     secret.pop_back();
   }
   if (secret.size() < min_secret_bytes) {
-    return error{error_code::invalid, file, "a fleet secret has at least 16 bytes"};
+    return error{error_code::invalid, file, "a secret has at least 16 bytes"};
   }
   return secret;
 }
@@ -162,35 +142,78 @@
   }
 }
 
+bool is_loopback(const endpoint& e) {
+  return e.address == "::1" || e.address.rfind("127.", 0) == 0;
+}
+
+// Names of the files that hold secrets.
+struct secret_files {
+  std::string fleet;
+  std::string operators;
+};
+
+void check_whole(object_reader& reader, const process_settings& out, const secret_files& secrets) {
+  if (out.id.empty() || out.fleet.empty() || out.data_centre.empty()) {
+    reader.fail(config::error_code::out_of_range, "id",
+                "id, fleet and data_centre must not be empty");
+  }
+  if (out.voters.empty() || out.voters.size() % 2 == 0) {
+    reader.fail(config::error_code::out_of_range, "voters", "allowed is an odd number of voters");
+  }
+  if (out.is_voter() && out.data_folder.empty()) {
+    reader.fail(config::error_code::missing_member, "data_folder", "a voter needs a data folder");
+  }
+  if (!out.is_voter() && !out.config_folder.empty()) {
+    reader.fail(config::error_code::out_of_range, "config_folder",
+                "only a voter can watch a configuration folder");
+  }
+  if (!is_loopback(out.operators) && secrets.operators.empty()) {
+    reader.fail(config::error_code::missing_member, "operator_secret_file",
+                "an operator address other than loopback needs a secret");
+  }
+}
+
 void read_all(object_reader& reader, const json& document, process_settings& out,
-              std::string& secret_file) {
+              secret_files& secrets) {
   for (const auto* name : {"id", "fleet", "data_centre", "fleet_secret_file", "listen", "voters"}) {
     reader.require(name);
   }
   reader.read("id", out.id);
   reader.read("fleet", out.fleet);
   reader.read("data_centre", out.data_centre);
-  reader.read("fleet_secret_file", secret_file);
+  reader.read("fleet_secret_file", secrets.fleet);
+  reader.read("operator_secret_file", secrets.operators);
   reader.read("data_folder", out.data_folder);
   reader.read("config_folder", out.config_folder);
   reader.read_ms("stop_grace_ms", out.stop_grace, 0, max_time_ms);
   read_object(reader, document, "listen", [&](object_reader& r) { read_listen(r, out); });
   read_object(reader, document, "limits", [&](object_reader& r) { read_limits(r, out.limits); });
   read_voters(reader, out.voters);
-  if (out.id.empty() || out.fleet.empty() || out.data_centre.empty()) {
-    reader.fail(config::error_code::out_of_range, "id",
-                "id, fleet and data_centre must not be empty");
+  check_whole(reader, out, secrets);
+}
+
+} // namespace
+
+bool parse_endpoint(const std::string& text, endpoint& out) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return false;
   }
-  if (out.voters.empty() || out.voters.size() % 2 == 0) {
-    reader.fail(config::error_code::out_of_range, "voters", "allowed is an odd number of voters");
+  auto host = text.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
   }
-  if (out.is_voter() && out.data_folder.empty()) {
-    reader.fail(config::error_code::missing_member, "data_folder", "a voter needs a data folder");
+  const auto* first = text.data() + colon + 1;
+  const auto* last = text.data() + text.size();
+  std::uint16_t port = 0;
+  const auto [end, ec] = std::from_chars(first, last, port);
+  if (ec != std::errc{} || end != last || port == 0 || !is_ip_address(host)) {
+    return false;
   }
+  out = endpoint{host, port};
+  return true;
 }
 
-} // namespace
-
 std::string endpoint::to_string() const {
   const bool is_v6 = address.find(':') != std::string::npos;
   return (is_v6 ? "[" + address + "]" : address) + ":" + std::to_string(port);
@@ -207,16 +230,17 @@
   }
   object_reader reader(document.value(), "");
   process_settings out;
-  std::string secret_file;
-  read_all(reader, document.value(), out, secret_file);
+  secret_files secrets;
+  read_all(reader, document.value(), out, secrets);
   if (auto done = reader.finish(); !done) {
     return error{error_code::invalid, file, config::describe(done.error())};
   }
-  auto secret = read_secret(resolve(file, secret_file));
-  if (!secret) {
-    return secret.error();
+  BOOST_OUTCOME_TRY(fleet_secret, read_secret(resolve(file, secrets.fleet)));
+  out.fleet_secret = std::move(fleet_secret);
+  if (!secrets.operators.empty()) {
+    BOOST_OUTCOME_TRY(operator_secret, read_secret(resolve(file, secrets.operators)));
+    out.operator_secret = std::move(operator_secret);
   }
-  out.fleet_secret = std::move(secret.value());
   out.data_folder = resolve(file, out.data_folder);
   out.config_folder = resolve(file, out.config_folder);
   return out;
