--- /dev/null
+++ b/include/kingcupshunt/balance/balancer.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "kingcupshunt/base/result.h"
+#include "kingcupshunt/base/rng.h"
+#include "kingcupshunt/base/time.h"
+#include "kingcupshunt/health/attempt.h"
+#include "kingcupshunt/health/status.h"
+#include "kingcupshunt/health/upstream.h"
+#include "kingcupshunt/membership/fleet_view.h"
+#include "kingcupshunt/peer/message.h"
+
+namespace kingcupshunt::balance {
+
+/// Why no upstream was chosen.
+enum class pick_error : std::uint8_t {
+  no_upstream, ///< the service has no server, or all of them were tried
+  all_busy     ///< every server that may be used is full, as far as known
+};
+
+const char* to_string(pick_error error) noexcept;
+
+template <class T>
+using result = base::result<T, pick_error>;
+
+/// One try that needs a server.
+struct pick_request {
+  std::string_view service;
+  std::string_view route;
+  std::span<const std::string> tried; ///< servers that this request is not to meet again
+  bool is_isolated = false;           ///< run alone on the server, as far as this instance sends
+  bool is_repeatable = true;          ///< false: avoids suspected and returning servers
+};
+
+/// Way of choosing among healthy servers.
+enum class selection : std::uint8_t {
+  two_choices,          ///< two random servers, the one with fewer requests of this instance
+  two_choices_reported, ///< as above, with the other instances' requests from load reports
+  slot_share,           ///< first the slots dealt to this instance, then two_choices
+  slot_share_reported   ///< first the slots dealt to this instance, then two_choices_reported
+};
+
+/// Whether `way` deals the slots of every server to the instances.
+bool has_shares(selection way) noexcept;
+
+/// Body of load_report: requests in flight of one instance.
+struct load_report {
+  std::string service;
+  std::vector<std::string> upstreams;
+  std::vector<std::uint32_t> in_flight;
+
+  MSGPACK_DEFINE_MAP(service, upstreams, in_flight)
+};
+
+struct balancer_settings {
+  std::string self;
+  std::string data_centre;
+  std::uint64_t seed = 1;
+  selection way = selection::slot_share;
+  base::duration slow_start = base::seconds(10);
+  base::duration full_backoff = base::milliseconds(20); ///< pause after a shed
+  base::duration report_interval = base::milliseconds(100);
+  std::size_t min_subset = 4;
+  std::size_t connections_per_instance = 4; ///< held at a server by one instance of its subset
+};
+
+struct balancer_hooks {
+  peer::send_function send; ///< only used by the ways with load reports
+  /// Bound on connections per server over all instances; 330 when empty.
+  std::function<std::uint32_t(std::string_view service)> max_connections;
+};
+
+/// Chooses servers and counts the slots taken by this instance.
+class balancer {
+public:
+  balancer(balancer_settings settings, balancer_hooks hooks);
+
+  /// Servers of a service as the registry has them. Requests in flight keep their slots.
+  void set_upstreams(std::string_view service, std::span<const health::upstream> servers,
+                     base::time_point now);
+
+  /// States as `health::reporter` gives them; servers that are not listed are normal.
+  void set_states(std::string_view service, std::span<const health::server_status> states,
+                  base::time_point now);
+  void set_view(const membership::fleet_view& view, base::time_point now);
+
+  /// Chooses a server and takes one slot there until `report` or `release`.
+  result<std::string> pick(const pick_request& request, base::time_point now);
+
+  /// Gives the slot of a finished try back and learns that a shedding server is full.
+  void report(const health::attempt& attempt, base::time_point now);
+
+  /// Gives a slot back when no try was made.
+  void release(std::string_view service, std::string_view id);
+
+  /// Takes load_report; ignores other kinds.
+  void receive(std::string_view from, peer::message_kind kind, std::string_view body,
+               base::time_point now);
+  void tick(base::time_point now);
+
+  /// Requests of this instance in flight at a server.
+  std::uint32_t in_flight(std::string_view service, std::string_view id) const;
+
+  /// Ids of the servers this instance uses for the service.
+  std::vector<std::string> subset(std::string_view service) const;
+
+private:
+  struct server {
+    health::upstream up;
+    std::uint32_t in_flight = 0;
+    std::uint32_t share = 0; ///< slots dealt to this instance
+    std::optional<health::server_state> state;
+    double weight = 1; ///< share of a normal server's traffic while in a state
+    double reported = 0;
+    base::time_point full_until{};
+    bool is_isolated = false;
+    bool is_known = true; ///< false: left the registry with requests in flight
+    bool is_in_subset = true;
+  };
+  struct report_of_peer {
+    base::time_point received{};
+    std::vector<std::pair<std::string, std::uint32_t>> in_flight;
+  };
+  struct service_servers {
+    std::vector<server> servers;
+    std::map<std::string, health::server_status> states;
+    std::map<std::string, report_of_peer> reports;
+    base::time_point first_known{};
+  };
+
+  service_servers* find(std::string_view service);
+  void arrange(std::string_view name, service_servers& s) const;
+  void deal_slots(std::string_view name, service_servers& s) const;
+  void choose_subset(std::string_view name, service_servers& s) const;
+  bool can_take(const server& v, const pick_request& request, base::time_point now) const;
+  double weight_of(const service_servers& s, const server& v, base::time_point now) const;
+  server* pick_weighted(service_servers& s, const pick_request& request, base::time_point now);
+  server* pick_shared(service_servers& s, const pick_request& request, base::time_point now);
+  server* pick_two(service_servers& s, const pick_request& request, base::time_point now, int tier);
+  int tier_of(const service_servers& s, const server& v, base::time_point now) const;
+  double load_of(const server& v) const;
+  void sum_reports(service_servers& s, base::time_point now) const;
+
+  balancer_settings settings_;
+  balancer_hooks hooks_;
+  base::rng rng_;
+  membership::fleet_view view_;
+  std::map<std::string, service_servers, std::less<>> services_;
+  base::time_point next_report_{};
+};
+
+} // namespace kingcupshunt::balance
