Add owner and client of fleet-wide rates

Owners keep one token bucket a workspace and count granted tokens as outstanding until they are reported, returned or certainly expired. Instances report their whole state in numbered frames, so that lost, repeated and reordered frames never add tokens.

--- /dev/null
+++ b/include/kingcupshunt/rates/client.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "kingcupshunt/base/result.h"
+#include "kingcupshunt/base/time.h"
+#include "kingcupshunt/config/snapshot.h"
+#include "kingcupshunt/membership/fleet_view.h"
+#include "kingcupshunt/observe/decision.h"
+#include "kingcupshunt/peer/message.h"
+#include "kingcupshunt/rates/decayed_count.h"
+#include "kingcupshunt/rates/limit.h"
+#include "kingcupshunt/rates/messages.h"
+#include "kingcupshunt/rates/ownership.h"
+
+namespace kingcupshunt::rates {
+
+enum class refusal_reason : std::uint8_t {
+  over_rate,        ///< the workspace has used its rate and burst
+  owner_starting,   ///< the owner is new or not fresh and grants nothing yet
+  owner_silent,     ///< no answer from the owner
+  unknown_workspace ///< the owner's configuration lacks the workspace, or no member is active
+};
+
+/// Stable lower_case name, also the label of the refusal counter.
+const char* to_string(refusal_reason reason) noexcept;
+
+/// A request that got no token. It has not run.
+struct rate_refusal {
+  refusal_reason reason = refusal_reason::over_rate;
+  std::optional<base::milliseconds> retry_after; ///< only when the owner told a time
+};
+
+using acquired = base::result<void, rate_refusal>;
+using done_function = std::function<void(acquired)>;
+
+struct client_settings {
+  std::uint64_t incarnation = 1;        ///< differs for each start of the process, not 0
+  base::milliseconds max_wait{100};     ///< longest wait of a request for its token
+  base::milliseconds ask_timeout{25};   ///< until an unanswered ask is sent again
+  base::milliseconds prefetch{200};     ///< demand over this time is held in advance
+  base::milliseconds return_after{300}; ///< idle time after which tokens go back
+  std::size_t max_waiters = 1024;       ///< waiting requests of one workspace
+};
+
+struct client_hooks {
+  peer::send_function send; ///< messages to this instance itself are to be delivered too
+  std::function<void(const observe::decision&)> on_decision;            ///< may be unset
+  std::function<void(std::string_view name, std::uint64_t n)> on_count; ///< may be unset
+};
+
+/// Instance side of the rates: spends tokens for requests and asks the owners for more.
+class client {
+public:
+  client(client_settings settings, client_hooks hooks);
+
+  void set_view(const membership::fleet_view& view, base::time_point now);
+
+  /// Takes one token of `workspace`. `done` is called exactly once: at once when a token is held or
+  /// the request is refused, else within the lesser of `deadline` and max_wait, to the precision of
+  /// tick.
+  void acquire(std::string_view workspace, base::time_point now, base::time_point deadline,
+               done_function done);
+
+  void receive(std::string_view from, peer::message_kind kind, std::string_view body,
+               base::time_point now);
+  void tick(base::time_point now);
+
+  /// Earliest time at which a tick has something to do, for timers finer than the usual 50 ms.
+  std::optional<base::time_point> next_due() const;
+
+  std::size_t entry_count() const noexcept { return entries_.size(); }
+
+private:
+  struct lot {
+    base::time_point expires;
+    std::uint32_t tokens = 0;
+  };
+  struct waiter {
+    base::time_point until;
+    done_function done;
+  };
+  struct pending_ask {
+    std::uint64_t seq = 0;
+    base::time_point sent;
+    base::time_point resend;
+    bool is_queued = false; ///< the owner has confirmed that the ask waits there
+  };
+  struct entry {
+    std::string owner;
+    std::deque<lot> lots;        ///< of the owner in force, by expiry
+    std::deque<lot> former_lots; ///< of a former owner or term; spent first, never reported
+    std::uint32_t held = 0;      ///< sum of lots
+    std::uint64_t spent = 0;
+    std::vector<base::time_point> spends; ///< newest unreported
+    bool has_unreported = false;
+    decayed_count demand;   ///< requests
+    decayed_count received; ///< tokens
+    std::optional<pending_ask> pending;
+    base::time_point ask_after{}; ///< no prefetch and no ask to a starting owner before this
+    base::time_point next_token{};
+    std::optional<refusal_reason> trouble; ///< why the last ask got nothing
+    std::uint32_t timeouts = 0;
+    bool is_tight = false;
+    std::deque<waiter> waiters;
+    base::time_point last_used{};
+    base::time_point last_report{};
+    base::time_point last_decision{};
+  };
+  using entry_map = std::unordered_map<std::string, entry, config::string_hash, std::equal_to<>>;
+  using completion = std::pair<done_function, acquired>;
+
+  entry& find_or_make(std::string_view workspace, base::time_point now);
+  static void make_former(entry& e);
+  static bool spend(entry& e, base::time_point now);
+  static void expire_lots(entry& e, base::time_point now);
+  std::uint32_t target(const entry& e, base::time_point now) const;
+  void consider_ask(const std::string& workspace, entry& e, base::time_point now);
+  void put_item(const std::string& workspace, entry& e, std::uint32_t urgent, std::uint32_t wish,
+                base::time_point now);
+  std::optional<rate_refusal> refuse_now(const entry& e, base::time_point now) const;
+  rate_refusal make_refusal(const entry& e, base::time_point now) const;
+  void serve_waiters(entry& e, base::time_point now);
+  void refuse_front(const std::string& workspace, entry& e, base::time_point now);
+  void drop_all_waiters(const std::string& workspace, entry& e, base::time_point now);
+  void note_refusal(const std::string& workspace, entry& e, const rate_refusal& r,
+                    base::time_point now);
+  void handle(std::string_view from, const grant_item& item, base::time_point now);
+  void handle_answer(const std::string& workspace, entry& e, const grant_item& item,
+                     base::time_point now);
+  void handle_recall(const std::string& workspace, entry& e, base::time_point now);
+  void tick_entry(const std::string& workspace, entry& e, base::time_point now);
+  void return_idle(entry& e, base::time_point now) const;
+  static void drop_tokens(entry& e, std::uint32_t n);
+  void flush();
+  void count(std::string_view name, std::uint64_t n = 1);
+
+  client_settings settings_;
+  client_hooks hooks_;
+  owner_map owners_;
+  entry_map entries_;
+  std::unordered_map<std::string, std::uint64_t> terms_; ///< owner to its incarnation
+  std::uint64_t next_seq_ = 0;
+  std::map<std::string, ask> out_;
+  std::vector<completion> completions_;
+};
+
+} // namespace kingcupshunt::rates
--- /dev/null
+++ b/include/kingcupshunt/rates/owner.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "kingcupshunt/base/time.h"
+#include "kingcupshunt/config/snapshot.h"
+#include "kingcupshunt/membership/fleet_view.h"
+#include "kingcupshunt/observe/decision.h"
+#include "kingcupshunt/peer/message.h"
+#include "kingcupshunt/rates/bucket.h"
+#include "kingcupshunt/rates/limit.h"
+#include "kingcupshunt/rates/messages.h"
+#include "kingcupshunt/rates/ownership.h"
+
+namespace kingcupshunt::rates {
+
+struct owner_settings {
+  std::string self;              ///< id of this instance
+  std::uint64_t incarnation = 1; ///< differs for each start of the process, not 0
+  /// Views remembered to tell for how long this instance has owned a workspace.
+  std::size_t view_history = 8;
+};
+
+struct owner_hooks {
+  peer::send_function send; ///< messages to `self` are to be delivered too
+  limit_function limit_of;
+  std::function<bool()> is_fresh;
+  /// Whether a majority is known to hold the view of this version. The wait of a new owner starts
+  /// then, because the former owner stays fresh for as long as no majority holds the new view.
+  /// Unset: every view given to set_view counts as held.
+  std::function<bool(std::uint64_t version)> is_view_held;
+  std::function<void(const observe::decision&)> on_decision;            ///< may be unset
+  std::function<void(std::string_view name, std::uint64_t n)> on_count; ///< may be unset
+};
+
+/// Owner side of the rates: keeps the buckets of the workspaces that the view gives to this
+/// instance and grants their tokens.
+class owner {
+public:
+  owner(owner_settings settings, owner_hooks hooks);
+
+  /// Takes a newer view over. Buckets of workspaces lost are dropped. A view whose version is not
+  /// the held one plus 1 restarts the wait for every workspace, because a view in between may have
+  /// given it to another owner.
+  void set_view(const membership::fleet_view& view, base::time_point now);
+  void receive(std::string_view from, peer::message_kind kind, std::string_view body,
+               base::time_point now);
+  void tick(base::time_point now);
+
+  /// Time at which a tick would serve a queued ask; empty when none is queued.
+  std::optional<base::time_point> next_due() const;
+
+  std::size_t bucket_count() const noexcept { return buckets_.size(); }
+  /// Bucket of a workspace for operators' pages, null when none is held.
+  const bucket* find_bucket(std::string_view workspace) const;
+
+private:
+  using bucket_map = std::unordered_map<std::string, bucket, config::string_hash, std::equal_to<>>;
+  struct past_view {
+    owner_map map;
+    std::optional<base::time_point> held_at; ///< when a majority was first known to hold it
+  };
+
+  void note_held_view(base::time_point now);
+  std::optional<base::time_point> ready_at(std::string_view workspace) const;
+  bucket* find_or_make(std::string_view workspace, const limit& l, base::time_point ready,
+                       base::time_point now);
+  void handle(std::string_view from, const ask& frame, const ask_item& item, base::time_point now);
+  void answer(std::string_view to, std::uint64_t incarnation, grant_item item);
+  void serve(const std::string& workspace, bucket& b, base::time_point now);
+  void recall(const std::string& workspace, bucket& b, base::time_point now);
+  void flush();
+  void count(std::string_view name, std::uint64_t n = 1);
+
+  owner_settings settings_;
+  owner_hooks hooks_;
+  std::deque<past_view> views_; ///< oldest first; the last is in force
+  bucket_map buckets_;
+  std::map<std::pair<std::string, std::uint64_t>, grant> out_;
+};
+
+} // namespace kingcupshunt::rates
--- /dev/null
+++ b/src/rates/client_exchange.cpp
@@ -0,0 +1,104 @@
+#include "kingcupshunt/rates/client.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupshunt::rates {
+
+namespace {
+
+// After a prefetch that got nothing the next one waits.
+constexpr base::milliseconds prefetch_pause{100};
+// An ask that the owner confirmed as queued is repeated after this time; the owner drops it then.
+constexpr base::milliseconds queued_resend{150};
+// Longest pause between asks to a silent owner.
+constexpr base::milliseconds max_ask_timeout{200};
+
+} // namespace
+
+void client::put_item(const std::string& workspace, entry& e, std::uint32_t urgent,
+                      std::uint32_t wish, base::time_point now) {
+  auto& frame = out_[e.owner];
+  if (frame.items.empty()) {
+    frame.seq = ++next_seq_;
+    frame.incarnation = settings_.incarnation;
+    const auto term = terms_.find(e.owner);
+    frame.term = term == terms_.end() ? 0 : term->second;
+  }
+  std::erase_if(frame.items, [&](const ask_item& i) { return i.workspace == workspace; });
+  ask_item item{workspace, urgent, wish, e.held, e.spent, {}};
+  if (e.is_tight) {
+    for (const auto at : e.spends) {
+      const auto age = std::chrono::duration_cast<base::microseconds>(now - at).count();
+      item.ages_us.push_back(static_cast<std::uint32_t>(
+          std::clamp<std::int64_t>(age, 0, std::chrono::microseconds(token_lifetime).count())));
+    }
+  }
+  frame.items.push_back(std::move(item));
+  e.spends.clear();
+  e.has_unreported = false;
+  e.last_report = now;
+  e.pending.reset();
+  if (urgent > 0 || wish > 0) {
+    const auto timeout = std::min<base::duration>(
+        settings_.ask_timeout * (1U << std::min(e.timeouts, 8U)), max_ask_timeout);
+    e.pending = pending_ask{frame.seq, now, now + timeout, false};
+  }
+}
+
+void client::handle_answer(const std::string& workspace, entry& e, const grant_item& item,
+                           base::time_point now) {
+  const auto status = static_cast<grant_status>(item.status);
+  e.timeouts = 0;
+  e.trouble.reset();
+  e.is_tight = item.is_tight;
+  e.next_token = now + base::milliseconds(item.retry_ms);
+  if (status == grant_status::queued) {
+    e.pending->is_queued = true;
+    e.pending->resend = e.pending->sent + queued_resend;
+    e.ask_after = now + prefetch_pause;
+    return;
+  }
+  const auto sent = e.pending->sent;
+  e.pending.reset();
+  if (status == grant_status::starting || status == grant_status::not_owner ||
+      status == grant_status::unknown) {
+    e.trouble = status == grant_status::unknown ? refusal_reason::unknown_workspace
+                                                : refusal_reason::owner_starting;
+    e.ask_after =
+        now + std::min<base::duration>(
+                  base::milliseconds(std::max<std::uint32_t>(item.retry_ms, 10)), max_ask_timeout);
+    if (status == grant_status::unknown || e.next_token > now + settings_.max_wait) {
+      drop_all_waiters(workspace, e, now);
+    }
+    return;
+  }
+  if (item.tokens == 0) {
+    e.ask_after = now + prefetch_pause;
+  }
+  // The lifetime counts from the ask, so that no delay of the answer can lengthen it beyond what
+  // the owner assumes.
+  const auto expires = sent + token_lifetime;
+  if (item.tokens > 0 && expires > now) {
+    e.lots.push_back({expires, item.tokens});
+    e.held += item.tokens;
+    e.received.add(item.tokens, now);
+  }
+  serve_waiters(e, now);
+  consider_ask(workspace, e, now);
+}
+
+void client::handle_recall(const std::string& workspace, entry& e, base::time_point now) {
+  expire_lots(e, now);
+  e.is_tight = true;
+  e.ask_after = std::max(e.ask_after, now + prefetch_pause);
+  if (e.pending || (e.held == 0 && !e.has_unreported)) {
+    return;
+  }
+  // Keeps what is likely to be used within the next exchange.
+  const auto keep = std::min(e.held, target(e, now) / 8);
+  drop_tokens(e, e.held - keep);
+  put_item(workspace, e, 0, 0, now);
+}
+
+} // namespace kingcupshunt::rates
