--- /dev/null
+++ b/include/kingcupshunt/admission/messages.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <msgpack.hpp>
+
+namespace kingcupshunt::admission {
+
+/// Crashes that a fingerprint was in flight at. Incidents are named by the server and its
+/// incarnation, so that reports of several instances about one crash count once.
+struct suspect_record {
+  std::uint64_t fingerprint = 0;
+  std::vector<std::uint64_t> incidents;
+  std::vector<std::uint64_t> cleared; ///< incidents that a later success has cleared
+
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("f", fingerprint), MSGPACK_NVP("i", incidents),
+                     MSGPACK_NVP("c", cleared))
+};
+
+/// A server that carries a suspect, or carries it no more.
+struct carrier_note {
+  std::uint64_t fingerprint = 0;
+  std::string server;
+  bool is_over = false;
+
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("f", fingerprint), MSGPACK_NVP("s", server),
+                     MSGPACK_NVP("o", is_over))
+};
+
+enum class permit_step : std::uint8_t { ask = 0, grant = 1, release = 2, wait = 3 };
+
+/// Exchange with the coordinator of a fingerprint, which lets one run at a time.
+struct permit_message {
+  std::uint64_t fingerprint = 0;
+  std::uint64_t call = 0;
+  std::uint8_t step = 0; ///< a permit_step
+
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("f", fingerprint), MSGPACK_NVP("k", call), MSGPACK_NVP("s", step))
+};
+
+/// Body of message_kind::crash_suspects.
+struct suspects_message {
+  std::vector<suspect_record> records;
+  std::vector<carrier_note> notes;
+  std::vector<permit_message> permits;
+  bool wants_all = false; ///< the sender has started and asks for every record
+
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("r", records), MSGPACK_NVP("n", notes), MSGPACK_NVP("p", permits),
+                     MSGPACK_NVP("a", wants_all))
+};
+
+} // namespace kingcupshunt::admission
--- /dev/null
+++ b/include/kingcupshunt/admission/retry_budget.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "kingcupshunt/base/time.h"
+#include "kingcupshunt/config/snapshot.h"
+
+namespace kingcupshunt::admission {
+
+struct retry_budget_settings {
+  double share = 0.1;                 ///< further tries for each recent success
+  double workspace_per_second = 0.5;  ///< further tries a workspace may always have
+  double instance_per_second = 5;     ///< further tries an instance may always have
+  double seconds_kept = 5;            ///< the constant part is saved up for this long
+  double workspace_cap = 50;          ///< most further tries saved up by a workspace
+  double instance_cap = 500;          ///< most further tries saved up by the instance
+  std::size_t max_workspaces = 20000; ///< idle ones are dropped beyond this
+};
+
+/// Bounds the further tries (retries and hedges) of one instance to a share of its recent
+/// successes plus a small constant, for each workspace and in total, so that a general failure does
+/// not multiply the load.
+class retry_budget {
+public:
+  explicit retry_budget(retry_budget_settings settings = {}) : settings_(settings) {}
+
+  /// A request of `workspace` succeeded.
+  void deposit(std::string_view workspace, base::time_point now);
+
+  /// Takes one further try out of both budgets. False when either is empty; nothing is taken then.
+  bool withdraw(std::string_view workspace, base::time_point now);
+
+  /// Gives a withdrawn try back that was not sent.
+  void restore(std::string_view workspace);
+
+  std::size_t size() const noexcept { return workspaces_.size(); }
+
+private:
+  struct account {
+    double tokens = 0;
+    base::time_point at{};
+  };
+
+  account& find_or_make(std::string_view workspace, base::time_point now);
+  void drop_idle(base::time_point now);
+  static void accrue(account& a, double per_second, double cap, base::time_point now);
+
+  retry_budget_settings settings_;
+  account instance_;
+  bool has_started_ = false;
+  std::unordered_map<std::string, account, config::string_hash, std::equal_to<>> workspaces_;
+};
+
+} // namespace kingcupshunt::admission
