--- /dev/null
+++ b/tests/membership/fresh_fleet.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "kingcupshunt/membership/freshness.h"
+#include "membership/simulation.h"
+
+namespace simulation {
+
+namespace membership = kingcupshunt::membership;
+
+/// Instances with a freshness core each, and one log of revisions that they pull from each other.
+class fresh_fleet {
+public:
+  struct instance {
+    std::unique_ptr<membership::freshness> core;
+    skewed_clock clock;
+    std::uint64_t applied = 0;
+    std::uint32_t incarnation = 0;
+    bool is_up = true;
+  };
+
+  fresh_fleet(std::size_t n, std::size_t members, std::size_t flat_limit, std::uint64_t seed)
+      : net(seed), flat_limit_(flat_limit) {
+    log.push_back({}); // revision 0
+    log.push_back(view_of(members));
+    instances.resize(n);
+    for (std::size_t i = 0; i < n; ++i) {
+      instances[i].clock.rate = 0.995 + 0.01 * net.random.unit();
+      instances[i].clock.offset = milliseconds(1'000'000 + net.random.below(1'000'000));
+      restart(i);
+    }
+  }
+
+  network net;
+  std::vector<instance> instances;
+  std::vector<std::optional<membership::fleet_view>> log; ///< by revision; a view where it changed
+  std::map<std::uint64_t, duration> acknowledged;         ///< revision to time
+
+  std::uint64_t head() const { return log.size() - 1; }
+  time_point local(std::size_t i) const { return instances[i].clock.at(net.now); }
+  bool is_fresh(std::size_t i) const {
+    return instances[i].is_up && instances[i].core->is_fresh(local(i));
+  }
+
+  void restart(std::size_t i) {
+    auto& self = instances[i];
+    self.is_up = true;
+    self.applied = 0;
+    ++self.incarnation;
+    membership::freshness_settings settings;
+    settings.self_id = id_of(i);
+    settings.incarnation = self.incarnation;
+    settings.started_at = local(i);
+    settings.flat_limit = flat_limit_;
+    settings.seed = net.random.below(1U << 30U);
+    membership::freshness_hooks hooks;
+    hooks.on_behind = [this, i](std::string_view peer, std::uint64_t) { pull(i, number_of(peer)); };
+    hooks.on_held = [this](std::uint64_t revision) { acknowledged.emplace(revision, net.now); };
+    self.core = std::make_unique<membership::freshness>(
+        settings,
+        [this, i](std::string_view to, message_kind kind, std::string body) {
+          net.send(i, number_of(to), kind, std::move(body));
+        },
+        hooks);
+  }
+
+  /// Takes over everything that `from` has applied, as a delta or as a whole state.
+  void pull(std::size_t i, std::size_t from) {
+    if (instances[from].is_up && net.is_open(i, from) && net.is_open(from, i)) {
+      apply(i, instances[from].applied);
+    }
+  }
+
+  void apply(std::size_t i, std::uint64_t revision) {
+    auto& self = instances[i];
+    if (self.applied == 0 && revision > 0) { // a whole state: the latest view and the one before
+      std::vector<const membership::fleet_view*> views;
+      for (std::uint64_t r = 1; r <= revision; ++r) {
+        if (log[r]) {
+          views.push_back(&*log[r]);
+        }
+      }
+      self.core->set_view(*views.back(), local(i));
+      if (views.size() > 1) {
+        self.core->set_previous_view(*views[views.size() - 2]);
+      }
+      self.applied = revision;
+      self.core->set_applied(revision, local(i));
+    }
+    while (self.applied < revision) {
+      ++self.applied;
+      if (log[self.applied]) {
+        self.core->set_view(*log[self.applied], local(i));
+      }
+      self.core->set_applied(self.applied, local(i));
+    }
+  }
+
+  /// Takes the state at a read index that the voters confirm.
+  void sync_with_voters(std::size_t i) {
+    apply(i, head());
+    instances[i].core->set_synced(local(i));
+  }
+
+  /// Appends a change through an instance that has applied the whole log.
+  bool propose(std::size_t i, std::optional<membership::fleet_view> view = std::nullopt) {
+    auto& self = instances[i];
+    if (!self.is_up || self.applied != head() || (view && !self.core->is_view_settled())) {
+      return false;
+    }
+    log.push_back(std::move(view));
+    apply(i, head());
+    return true;
+  }
+
+  const membership::fleet_view& latest_view() const {
+    return **std::find_if(log.rbegin(), log.rend(), [](const auto& v) { return v.has_value(); });
+  }
+
+  void step(duration length = milliseconds(50)) {
+    net.run_until(net.now + length, [this](auto from, auto to, auto kind, const auto& body) {
+      if (instances[to].is_up) {
+        instances[to].core->receive(id_of(from), kind, body, local(to));
+      }
+    });
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+      auto& self = instances[i];
+      if (!self.is_up) {
+        continue;
+      }
+      if (self.applied == 0) {
+        const auto from = net.random.below(instances.size());
+        if (from != i) {
+          pull(i, from);
+        }
+      }
+      self.core->tick(local(i));
+    }
+  }
+
+  void run(duration length) {
+    for (const auto end = net.now + length; net.now < end;) {
+      step();
+    }
+  }
+
+  /// The instance that is fresh although it lacks a revision acknowledged more than 2 s ago.
+  std::optional<std::size_t> find_violation() const {
+    for (auto it = acknowledged.rbegin(); it != acknowledged.rend(); ++it) {
+      if (net.now - it->second <= milliseconds(2000)) {
+        continue;
+      }
+      for (std::size_t i = 0; i < instances.size(); ++i) {
+        if (is_fresh(i) && instances[i].applied < it->first) {
+          return i;
+        }
+      }
+      return std::nullopt; // older revisions are implied
+    }
+    return std::nullopt;
+  }
+
+private:
+  std::size_t flat_limit_;
+};
+
+} // namespace simulation
