--- /dev/null
+++ b/include/kingcupshunt/proxy/entry_settings.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "kingcupshunt/base/time.h"
+
+namespace kingcupshunt::proxy {
+
+/// Limits of the entry. Times are maxima; a request's own deadline may end it sooner.
+struct entry_settings {
+  std::string address = "127.0.0.1"; ///< IP address to listen on
+  std::uint16_t port = 0;            ///< 0: any free port
+
+  std::size_t max_connections = 10000;             ///< open caller connections
+  std::size_t max_connections_per_caller = 1000;   ///< open connections of one IP address
+  std::size_t max_head_bytes = 16 * 1024;          ///< request line and headers
+  std::size_t max_header_fields = 100;             ///< header fields of one request
+  std::size_t max_answer_head_bytes = 32 * 1024;   ///< status line and headers of an upstream
+  std::size_t max_replay_bytes = 64 * 1024;        ///< longest body kept to be sent again
+  std::size_t max_stored_answer_bytes = 64 * 1024; ///< longest answer kept for resends
+  std::size_t max_drain_bytes = 256 * 1024;        ///< rest of a refused body that is read
+  unsigned max_tries = 4;                          ///< tries of one request, hedges included
+
+  base::milliseconds idle_timeout{60000};  ///< caller connection between two requests
+  base::milliseconds head_timeout{10000};  ///< from a request's first byte to its head's end
+  base::milliseconds total_timeout{60000}; ///< whole request, whatever its route states
+  base::milliseconds write_timeout{5000};  ///< writing a refusal
+  base::milliseconds drain_timeout{1000};  ///< reading the rest of a refused body
+
+  std::size_t connections_per_upstream = 24;       ///< open connections to one upstream
+  base::milliseconds connect_timeout{1000};        ///< TCP connection to an upstream
+  base::milliseconds upstream_idle_timeout{30000}; ///< pooled connection without a request
+  base::milliseconds verified_for{1000};           ///< trust after a whole answer
+  base::milliseconds silence_after{1000};          ///< reused connection without an answer
+};
+
+} // namespace kingcupshunt::proxy
--- /dev/null
+++ b/src/proxy/body_reader.cpp
@@ -0,0 +1,75 @@
+#include "body_reader.h"
+
+#include <limits>
+
+#include <boost/beast/http/error.hpp>
+
+namespace kingcupshunt::proxy {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// A chunk header or trailer that does not end within this many bytes is refused.
+constexpr std::size_t max_unparsed_bytes = 64 * 1024;
+
+} // namespace
+
+template <class Parser>
+error_code parse_head(timed_socket& stream, Parser& parser, std::size_t head_size) {
+  parser.header_limit(std::numeric_limits<std::uint32_t>::max()); // bounded before by the reader
+  // The relay counts. Beast 1.74 takes boost::none for a limit of zero.
+  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  error_code ec;
+  const auto data = boost::asio::buffer(stream.buffer().data(), head_size);
+  const auto n = parser.put(data, ec);
+  stream.buffer().consume(n);
+  if (!ec && (n != head_size || !parser.is_header_done())) {
+    ec = http::error::bad_field;
+  }
+  return ec;
+}
+
+template <class Parser>
+awaitable<body_piece> read_body(timed_socket& stream, Parser& parser, char* out, std::size_t room) {
+  auto& body = parser.get().body();
+  body.data = out;
+  body.size = room;
+  body.more = true;
+  for (;;) {
+    bool must_read = stream.buffer().size() == 0;
+    while (!parser.is_done() && !must_read && body.size > 0) {
+      error_code ec;
+      const auto n = parser.put(stream.buffer().data(), ec);
+      stream.buffer().consume(n);
+      must_read = ec == http::error::need_more || stream.buffer().size() == 0;
+      if (ec && ec != http::error::need_more && ec != http::error::need_buffer) {
+        co_return body_piece{room - body.size, body_state::malformed};
+      }
+      if (ec == http::error::need_buffer) {
+        break;
+      }
+    }
+    const auto size = room - body.size;
+    if (parser.is_done()) {
+      co_return body_piece{size, body_state::done};
+    }
+    if (size > 0) {
+      co_return body_piece{size, body_state::more};
+    }
+    if (stream.buffer().size() > max_unparsed_bytes) {
+      co_return body_piece{0, body_state::malformed};
+    }
+    const auto ec = co_await stream.read_some();
+    if (ec) {
+      co_return body_piece{0, stream.is_timed_out() ? body_state::timed_out : body_state::closed};
+    }
+  }
+}
+
+template error_code parse_head(timed_socket&, request_parser&, std::size_t);
+template error_code parse_head(timed_socket&, response_parser&, std::size_t);
+template awaitable<body_piece> read_body(timed_socket&, request_parser&, char*, std::size_t);
+template awaitable<body_piece> read_body(timed_socket&, response_parser&, char*, std::size_t);
+
+} // namespace kingcupshunt::proxy
--- /dev/null
+++ b/src/proxy/entry_server.cpp
@@ -0,0 +1,234 @@
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <stdexcept>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "kingcupshunt/observe/event_log.h"
+#include "kingcupshunt/proxy/entry_server.h"
+#include "kingcupshunt/proxy/header_rewrite.h"
+#include "session.h"
+
+namespace kingcupshunt::proxy {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto sweep_interval = base::seconds(1);
+/// Pause after accept failed for lack of descriptors; an immediate repeat would fail as well.
+constexpr auto accept_pause = base::milliseconds(100);
+/// How often a stopping server looks whether all connections have ended.
+constexpr auto stop_interval = base::milliseconds(20);
+
+} // namespace
+
+struct entry_server::impl : std::enable_shared_from_this<impl> {
+  impl(asio::io_context& io, entry_settings settings, hooks decisions, observe::metrics& metrics)
+      : context(std::make_shared<entry_context>(io.get_executor(), std::move(settings),
+                                                std::move(decisions), metrics)),
+        acceptor(io), sweep_timer(io), stop_timer(io) {}
+
+  void listen();
+  awaitable<void> accept_loop();
+  void accepted(tcp::socket socket);
+  awaitable<void> serve(std::shared_ptr<session> s, std::string address);
+  awaitable<void> sweep_loop();
+  awaitable<void> finish_stop(base::time_point deadline, std::function<void(std::size_t)> done);
+  void refuse_connection(tcp::socket& socket, const char* reason);
+  void close();
+
+  std::shared_ptr<entry_context> context;
+  tcp::acceptor acceptor;
+  asio::steady_timer sweep_timer;
+  asio::steady_timer stop_timer;
+  std::unordered_set<std::shared_ptr<session>> sessions;
+  std::unordered_map<std::string, std::size_t> per_caller;
+  bool is_closed = false;
+};
+
+void entry_server::impl::listen() {
+  try {
+    const auto& settings = context->settings;
+    const tcp::endpoint endpoint(asio::ip::make_address(settings.address), settings.port);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen();
+  } catch (const boost::system::system_error& e) {
+    throw std::runtime_error("cannot listen on " + context->settings.address + ":" +
+                             std::to_string(context->settings.port) + ": " + e.what());
+  }
+}
+
+awaitable<void> entry_server::impl::accept_loop() {
+  const auto self = shared_from_this();
+  while (acceptor.is_open()) {
+    error_code ec;
+    auto socket = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec) {
+      accepted(std::move(socket));
+    } else if (acceptor.is_open()) {
+      context->metrics.count("accept_failures_total");
+      stop_timer.expires_after(accept_pause);
+      co_await stop_timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+  }
+}
+
+void entry_server::impl::accepted(tcp::socket socket) {
+  error_code ec;
+  const auto remote = socket.remote_endpoint(ec);
+  if (ec) {
+    return;
+  }
+  const auto& settings = context->settings;
+  auto address = remote.address().to_string();
+  auto& count = per_caller[address];
+  if (sessions.size() >= settings.max_connections || count >= settings.max_connections_per_caller) {
+    refuse_connection(socket, count >= settings.max_connections_per_caller
+                                  ? "too_many_caller_connections"
+                                  : "too_many_connections");
+    if (count == 0) {
+      per_caller.erase(address);
+    }
+    return;
+  }
+  ++count;
+  socket.set_option(tcp::no_delay(true), ec);
+  auto s = std::make_shared<session>(context, std::move(socket), address);
+  sessions.insert(s);
+  context->metrics.set("caller_connections", static_cast<double>(sessions.size()));
+  asio::co_spawn(
+      context->executor,
+      [self = shared_from_this(), s, address] { return self->serve(s, address); }, asio::detached);
+}
+
+/// A new socket's send buffer takes the short answer whole, so that nothing is waited for.
+void entry_server::impl::refuse_connection(tcp::socket& socket, const char* reason) {
+  context->metrics.count_refusal(reason);
+  const refusal r{503, reason, "too many open connections", ran_state::no, base::seconds(1)};
+  const auto text = refusal_answer(r, context->next_request_id(), false, true);
+  error_code ec;
+  socket.non_blocking(true, ec);
+  socket.write_some(asio::buffer(text), ec);
+  socket.shutdown(tcp::socket::shutdown_send, ec);
+}
+
+awaitable<void> entry_server::impl::serve(std::shared_ptr<session> s, std::string address) {
+  try {
+    co_await s->run();
+  } catch (const std::exception& e) {
+    context->metrics.count("session_errors_total");
+    observe::log_error("session_failed", {{"error", e.what()}});
+    s->cut();
+  }
+  sessions.erase(s);
+  const auto it = per_caller.find(address);
+  if (it != per_caller.end() && --it->second == 0) {
+    per_caller.erase(it);
+  }
+  context->metrics.set("caller_connections", static_cast<double>(sessions.size()));
+}
+
+awaitable<void> entry_server::impl::sweep_loop() {
+  const auto self = shared_from_this();
+  error_code ec;
+  while (!is_closed) {
+    sweep_timer.expires_after(sweep_interval);
+    co_await sweep_timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    context->pool.sweep(base::clock::now());
+  }
+}
+
+awaitable<void> entry_server::impl::finish_stop(base::time_point deadline,
+                                                std::function<void(std::size_t)> done) {
+  const auto self = shared_from_this();
+  error_code ec;
+  const auto wait = [&](base::time_point until) {
+    stop_timer.expires_at(until);
+    return stop_timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+  };
+  while (!sessions.empty() && base::clock::now() < deadline) {
+    co_await wait(std::min(deadline, base::clock::now() + stop_interval));
+  }
+  const auto rest = std::vector<std::shared_ptr<session>>(sessions.begin(), sessions.end());
+  for (const auto& s : rest) {
+    s->cut();
+  }
+  while (!sessions.empty()) {
+    co_await wait(base::clock::now() + stop_interval);
+  }
+  close();
+  observe::log_info("entry_stopped", {{"connections_cut", rest.size()}});
+  done(rest.size());
+}
+
+void entry_server::impl::close() {
+  error_code ignored;
+  is_closed = true;
+  context->is_stopping = true;
+  acceptor.close(ignored);
+  sweep_timer.cancel(ignored);
+  stop_timer.cancel(ignored);
+  context->pool.close_idle();
+}
+
+entry_server::entry_server(asio::io_context& io, entry_settings settings, hooks decisions,
+                           observe::metrics& metrics)
+    : impl_(std::make_shared<impl>(io, std::move(settings), std::move(decisions), metrics)) {
+  impl_->listen();
+  asio::co_spawn(
+      io, [self = impl_] { return self->accept_loop(); }, asio::detached);
+  asio::co_spawn(
+      io, [self = impl_] { return self->sweep_loop(); }, asio::detached);
+}
+
+entry_server::~entry_server() {
+  const auto open =
+      std::vector<std::shared_ptr<session>>(impl_->sessions.begin(), impl_->sessions.end());
+  for (const auto& s : open) {
+    s->cut();
+  }
+  impl_->close();
+}
+
+std::uint16_t entry_server::port() const noexcept {
+  error_code ignored;
+  return impl_->acceptor.local_endpoint(ignored).port();
+}
+
+void entry_server::set_interceptor(interceptor answer) {
+  impl_->context->intercept = std::move(answer);
+}
+
+void entry_server::stop(base::time_point deadline, std::function<void(std::size_t)> done) {
+  error_code ignored;
+  impl_->context->is_stopping = true;
+  impl_->acceptor.close(ignored);
+  for (const auto& s :
+       std::vector<std::shared_ptr<session>>(impl_->sessions.begin(), impl_->sessions.end())) {
+    if (s->is_idle()) {
+      s->cut();
+    }
+  }
+  asio::co_spawn(
+      impl_->context->executor,
+      [self = impl_, deadline, done = std::move(done)] {
+        return self->finish_stop(deadline, done);
+      },
+      asio::detached);
+}
+
+std::size_t entry_server::connection_count() const noexcept {
+  return impl_->sessions.size();
+}
+
+} // namespace kingcupshunt::proxy
--- /dev/null
+++ b/src/proxy/exchange.cpp
@@ -0,0 +1,354 @@
+#include "exchange.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "kingcupshunt/proxy/head_checks.h"
+#include "kingcupshunt/proxy/header_rewrite.h"
+
+namespace kingcupshunt::proxy {
+
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+using health::attempt_end;
+
+namespace {
+
+constexpr std::size_t max_answer_fields = 200;
+
+std::string chunk_size_line(std::size_t n) {
+  std::array<char, 24> line{};
+  const int size = std::snprintf(line.data(), line.size(), "%zx\r\n", n);
+  return {line.data(), static_cast<std::size_t>(size)};
+}
+
+} // namespace
+
+exchange::exchange(entry_context& context, upstream_target target,
+                   std::shared_ptr<const outgoing> request, connection_need need,
+                   std::shared_ptr<event> wake)
+    : owner_(context.shared_from_this()), context_(context), target_(std::move(target)),
+      request_(std::move(request)), need_(need), wake_(std::move(wake)),
+      started_(base::clock::now()) {}
+
+void exchange::start() {
+  asio::co_spawn(
+      context_.executor, [self = shared_from_this()] { return self->run(); }, asio::detached);
+}
+
+void exchange::cancel() {
+  is_cancelled_ = true;
+  end_ = attempt_end::cancelled;
+  release(false);
+}
+
+void exchange::release(bool is_reusable) {
+  if (const auto connection = std::exchange(connection_, nullptr)) {
+    total_ = base::clock::now() - started_;
+    if (is_reusable) {
+      context_.pool.put(connection, base::clock::now());
+    } else {
+      context_.pool.drop(connection);
+    }
+  }
+}
+
+awaitable<void> exchange::run() {
+  try {
+    co_await run_tries();
+  } catch (const std::exception&) {
+    // Lack of memory for the answer: the request ends here, not the process.
+    has_answer_ = false;
+    end_ = attempt_end::cancelled;
+    release(false);
+  }
+  silent_since_.reset();
+  is_finished_ = true;
+  wake_->notify();
+}
+
+awaitable<void> exchange::run_tries() {
+  auto need = need_;
+  do {
+    co_await run_once(need);
+    need = connection_need::fresh;
+    if (end_ == attempt_end::stale_connection) {
+      context_.pool.renew(target_.id);
+      context_.metrics.count("upstream_stale_connections_total", "failed_in_use");
+    }
+  } while (!is_cancelled_ && end_ == attempt_end::stale_connection && may_resend());
+  if (!has_answer_ || is_whole_) {
+    total_ = base::clock::now() - started_;
+  }
+}
+
+bool exchange::may_resend() const {
+  const bool is_allowed = request_->is_resendable || !was_sent_;
+  if (!is_allowed || base::clock::now() >= request_->deadline) {
+    return false;
+  }
+  context_.metrics.count_retry("stale_connection");
+  return true;
+}
+
+awaitable<void> exchange::run_once(connection_need need) {
+  if (is_cancelled_) {
+    co_return;
+  }
+  connection_ = context_.pool.take(target_.id, need, base::clock::now());
+  if (!connection_) {
+    had_no_connection_ = true;
+    end_ = attempt_end::cancelled;
+    co_return;
+  }
+  was_reused_ = connection_->was_reused;
+  bool is_ok = co_await connect();
+  if (is_ok) {
+    is_ok = co_await send();
+  }
+  if (is_ok) {
+    is_ok = co_await read_head();
+  }
+  if (is_cancelled_) {
+    end_ = attempt_end::cancelled;
+  }
+  if (!is_ok || is_cancelled_) {
+    release(false);
+    co_return;
+  }
+  has_answer_ = true;
+  co_await collect();
+}
+
+awaitable<bool> exchange::connect() {
+  const auto stream = connection_->stream;
+  if (was_reused_) {
+    stream->expires_at(request_->deadline);
+    co_return true;
+  }
+  stream->expires_at(
+      std::min(request_->deadline, base::clock::now() + context_.settings.connect_timeout));
+  error_code ec;
+  const auto address = asio::ip::make_address(target_.address, ec);
+  if (!ec) {
+    ec = co_await stream->connect(tcp::endpoint(address, target_.port));
+  }
+  if (ec) {
+    end_ = attempt_end::connect_failed;
+    co_return false;
+  }
+  stream->expires_at(request_->deadline);
+  co_return !is_cancelled_;
+}
+
+awaitable<bool> exchange::send() {
+  const auto stream = connection_->stream;
+  const auto left = request_->deadline - base::clock::now();
+  stream->reset_written();
+  const auto deadline = deadline_field(base::to_ms(left));
+  const auto ec = co_await stream->write(request_->head, deadline, request_->body);
+  was_sent_ = was_sent_ || stream->written() > 0;
+  sent_at_ = base::clock::now();
+  if (ec && !is_cancelled_ && stream->written() == 0) {
+    end_ = was_reused_ ? attempt_end::stale_connection : attempt_end::closed_unanswered;
+    co_return false;
+  }
+  // After a partial write an answer may still have come, so that it is read.
+  is_body_sent_ = !request_->is_streamed && !ec;
+  is_ready_for_body_ = request_->is_streamed && !ec;
+  if (was_reused_ && is_body_sent_) {
+    silent_since_ = sent_at_;
+  }
+  wake_->notify();
+  co_return !is_cancelled_;
+}
+
+void exchange::fail_read(bool has_bytes) {
+  const auto& stream = *connection_->stream;
+  if (stream.is_timed_out()) {
+    end_ = attempt_end::timed_out;
+  } else if (has_bytes) {
+    end_ = attempt_end::truncated;
+  } else {
+    end_ = was_reused_ ? attempt_end::stale_connection : attempt_end::closed_unanswered;
+  }
+}
+
+/// Reads until a whole head is buffered. Its size is left to the caller to find again.
+awaitable<bool> exchange::read_head_bytes() {
+  const auto stream = connection_->stream;
+  std::size_t searched = 0;
+  while (find_head_end(stream->buffered(), searched) == std::string_view::npos) {
+    searched = stream->buffered().size();
+    if (searched > context_.settings.max_answer_head_bytes) {
+      end_ = attempt_end::malformed;
+      co_return false;
+    }
+    const auto ec = co_await stream->read_some();
+    if (is_cancelled_) {
+      co_return false;
+    }
+    if (ec) {
+      fail_read(searched > 0);
+      co_return false;
+    }
+    if (searched == 0) {
+      silent_since_.reset();
+      const bool was_sent_before = sent_at_ != base::time_point{};
+      first_byte_ = was_sent_before ? base::clock::now() - sent_at_ : base::duration{};
+    }
+  }
+  co_return true;
+}
+
+awaitable<bool> exchange::read_head() {
+  const auto stream = connection_->stream;
+  for (;;) {
+    const bool has_bytes = co_await read_head_bytes();
+    if (!has_bytes) {
+      co_return false;
+    }
+    end_ = attempt_end::malformed;
+    const auto size = find_head_end(stream->buffered(), 0);
+    if (check_raw_head(stream->buffered().substr(0, size), max_answer_fields) != nullptr) {
+      co_return false;
+    }
+    parser_.emplace();
+    parser_->skip(request_->is_head);
+    if (parse_head(*stream, *parser_, size)) {
+      co_return false;
+    }
+    if (check_answer(answer(), request_->is_head) != nullptr) {
+      co_return false;
+    }
+    if (answer().result_int() >= 200) {
+      end_ = end_of_status();
+      co_return true;
+    }
+    // Interim answers are for this connection only: the caller got its 100 from the entry.
+  }
+}
+
+attempt_end exchange::end_of_status() const {
+  const auto status = answer().result_int();
+  const bool is_shed =
+      status == 429 || (status == 503 && answer().count(http::field::retry_after) > 0);
+  if (is_shed) {
+    return attempt_end::shed;
+  }
+  return status >= 500 ? attempt_end::error_status : attempt_end::ok;
+}
+
+std::optional<std::uint64_t> exchange::answer_length() const {
+  const auto text = answer()[http::field::content_length];
+  if (text.empty()) {
+    return std::nullopt;
+  }
+  return std::stoull(std::string(text));
+}
+
+bool exchange::is_bodyless() const {
+  const auto status = answer().result_int();
+  return request_->is_head || status == 204 || status == 304;
+}
+
+awaitable<void> exchange::collect() {
+  if (is_bodyless() || parser_->is_done()) {
+    finish_answer();
+    co_return;
+  }
+  const auto limit = context_.settings.max_stored_answer_bytes;
+  const auto length = answer_length();
+  const bool is_wanted =
+      length ? *length <= limit : request_->must_store || answer().result_int() >= 500;
+  if (!is_wanted) {
+    co_return;
+  }
+  std::string piece(length ? static_cast<std::size_t>(*length) : std::size_t{16} * 1024, '\0');
+  while (!is_whole_ && held_.size() <= limit) {
+    const auto got = co_await read_more(piece.data(), piece.size());
+    held_.append(piece, 0, got.size);
+    if (got.state != body_state::more && !is_whole_) {
+      has_answer_ = false; // no byte of it went to the caller
+      co_return;
+    }
+  }
+}
+
+awaitable<body_piece> exchange::read_more(char* out, std::size_t room) {
+  if (!connection_) {
+    co_return body_piece{0, body_state::closed};
+  }
+  const auto stream = connection_->stream;
+  const auto piece = co_await read_body(*stream, *parser_, out, room);
+  if (is_cancelled_) {
+    co_return body_piece{0, body_state::closed};
+  }
+  switch (piece.state) {
+  case body_state::more:
+    co_return piece;
+  case body_state::done:
+    finish_answer();
+    co_return piece;
+  case body_state::closed:
+    end_ = attempt_end::truncated;
+    break;
+  case body_state::timed_out:
+    end_ = attempt_end::timed_out;
+    break;
+  case body_state::malformed:
+    end_ = attempt_end::malformed;
+    break;
+  }
+  release(false);
+  co_return piece;
+}
+
+void exchange::finish_answer() {
+  is_whole_ = true;
+  const bool is_keep_alive = parser_->keep_alive() && answer().version() == 11;
+  // Bytes behind the answer belong to no request; the pool drops such a connection.
+  release(is_keep_alive && is_body_sent_);
+}
+
+awaitable<bool> exchange::write_body(std::string_view piece, bool is_chunked, bool is_last) {
+  if (!connection_) {
+    co_return false;
+  }
+  const auto stream = connection_->stream;
+  error_code ec;
+  if (!is_chunked) {
+    ec = co_await stream->write(piece);
+  } else if (!piece.empty()) {
+    const auto line = chunk_size_line(piece.size());
+    ec = co_await stream->write(line, piece, is_last ? "\r\n0\r\n\r\n" : "\r\n");
+  } else if (is_last) {
+    ec = co_await stream->write("0\r\n\r\n");
+  }
+  if (is_last && !ec) {
+    is_body_sent_ = true;
+    sent_at_ = base::clock::now();
+  }
+  co_return !ec;
+}
+
+health::attempt exchange::to_attempt(const authorized_request& request,
+                                     std::uint64_t fingerprint) const {
+  health::attempt a;
+  a.service = request.service->name;
+  a.route = request.route->name;
+  a.upstream = target_.id;
+  a.end = end_;
+  a.status = parser_ ? answer().result_int() : 0;
+  a.first_byte = std::max(first_byte_, base::duration{});
+  a.total = total_;
+  a.fingerprint = fingerprint;
+  a.was_reused = was_reused_;
+  return a;
+}
+
+} // namespace kingcupshunt::proxy
--- /dev/null
+++ b/src/proxy/exchange.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "body_reader.h"
+#include "entry_context.h"
+#include "event.h"
+#include "kingcupshunt/health/attempt.h"
+#include "kingcupshunt/proxy/head_checks.h"
+
+namespace kingcupshunt::proxy {
+
+/// What is sent to an upstream, the same for all tries of a request.
+struct outgoing {
+  std::string head;          ///< without deadline field and blank line
+  std::string body;          ///< whole body with its framing, when it is not streamed
+  bool is_streamed = false;  ///< the body follows through exchange::write_body
+  bool is_head = false;      ///< HEAD: the answer has no body
+  bool is_resendable = true; ///< may be sent again although bytes of it went out
+  bool must_store = false;   ///< the answer is collected whatever its framing
+  base::time_point deadline;
+};
+
+/// One try of a request on one upstream: connection, request, answer head, and the answer's body
+/// when it is short. Runs as its own coroutine; `wake` is notified on each change.
+class exchange : public std::enable_shared_from_this<exchange> {
+public:
+  exchange(entry_context& context, upstream_target target, std::shared_ptr<const outgoing> request,
+           connection_need need, std::shared_ptr<event> wake);
+
+  void start();
+
+  /// Closes the connection, by which the upstream's work is cancelled.
+  void cancel();
+
+  const upstream_target& target() const noexcept { return target_; }
+  bool is_finished() const noexcept { return is_finished_; }
+  bool is_cancelled() const noexcept { return is_cancelled_; }
+  /// The connection is up and takes the streamed body.
+  bool is_ready_for_body() const noexcept { return is_ready_for_body_; }
+  /// Bytes of the request have left on some connection.
+  bool was_sent() const noexcept { return was_sent_; }
+  /// No connection was free; nothing was tried.
+  bool had_no_connection() const noexcept { return had_no_connection_; }
+  /// An answer's head is there; false after a failure.
+  bool has_answer() const noexcept { return is_finished_ && has_answer_; }
+  /// The answer's body is whole in held().
+  bool is_whole() const noexcept { return is_whole_; }
+  /// Waits on a reused connection since the request was sent and has seen no byte.
+  std::optional<base::time_point> silent_since() const noexcept { return silent_since_; }
+
+  const response_header& answer() const { return parser_->get().base(); }
+  std::optional<std::uint64_t> answer_length() const;
+  bool is_bodyless() const;
+  const std::string& held() const noexcept { return held_; }
+
+  /// Writes a piece of a streamed body in its framing; an empty last piece ends it.
+  awaitable<bool> write_body(std::string_view piece, bool is_chunked, bool is_last);
+
+  /// Reads on in an answer that is not whole. The end is noted in end().
+  awaitable<body_piece> read_more(char* out, std::size_t room);
+
+  /// How the try ended, as far as it has.
+  health::attempt to_attempt(const authorized_request& request, std::uint64_t fingerprint) const;
+  health::attempt_end end() const noexcept { return end_; }
+  void set_end(health::attempt_end end) noexcept { end_ = end; }
+  /// True on the first call: each try is reported once.
+  bool mark_reported() noexcept { return !std::exchange(is_reported_, true); }
+
+private:
+  awaitable<void> run();
+  awaitable<void> run_tries();
+  awaitable<void> run_once(connection_need need);
+  awaitable<bool> connect();
+  awaitable<bool> send();
+  awaitable<bool> read_head();
+  awaitable<bool> read_head_bytes();
+  awaitable<void> collect();
+  bool may_resend() const;
+  void fail_read(bool has_bytes);
+  void finish_answer();
+  void release(bool is_reusable);
+  health::attempt_end end_of_status() const;
+
+  std::shared_ptr<entry_context> owner_; ///< a cancelled try may outlive its session
+  entry_context& context_;
+  upstream_target target_;
+  std::shared_ptr<const outgoing> request_;
+  connection_need need_;
+  std::shared_ptr<event> wake_;
+
+  std::shared_ptr<upstream_connection> connection_;
+  std::optional<response_parser> parser_;
+  std::string held_;
+  health::attempt_end end_ = health::attempt_end::cancelled;
+  std::optional<base::time_point> silent_since_;
+  base::time_point started_;
+  base::time_point sent_at_;
+  base::duration first_byte_{};
+  base::duration total_{};
+  bool is_finished_ = false;
+  bool is_cancelled_ = false;
+  bool is_ready_for_body_ = false;
+  bool is_body_sent_ = false;
+  bool was_sent_ = false;
+  bool was_reused_ = false;
+  bool had_no_connection_ = false;
+  bool has_answer_ = false;
+  bool is_whole_ = false;
+  bool is_reported_ = false;
+};
+
+} // namespace kingcupshunt::proxy
--- /dev/null
+++ b/src/proxy/request_answer.cpp
@@ -0,0 +1,158 @@
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+#include "request_run.h"
+
+#include "kingcupshunt/proxy/header_rewrite.h"
+
+namespace kingcupshunt::proxy {
+
+namespace http = boost::beast::http;
+using health::attempt_end;
+
+namespace {
+
+constexpr std::size_t relay_piece_bytes = 64 * 1024;
+
+} // namespace
+
+bool request_run::must_close() const {
+  const auto& parser = *caller_->parser;
+  return caller_->is_closing || caller_->has_leftover || context_.is_stopping ||
+         !parser.is_done() || !parser.keep_alive();
+}
+
+base::time_point request_run::write_deadline() const {
+  return std::max(auth_.deadline, base::clock::now() + context_.settings.write_timeout);
+}
+
+awaitable<void> request_run::write_to_caller(std::string_view head, std::string_view body) {
+  caller_->is_closing = must_close();
+  if (caller_->is_gone) {
+    co_return;
+  }
+  caller_->stream->expires_at(write_deadline());
+  const auto ec = co_await caller_->stream->write(head, body);
+  if (ec) {
+    caller_->is_gone = true;
+    caller_->is_closing = true;
+  }
+  co_return;
+}
+
+awaitable<void> request_run::refuse(const refusal& r) {
+  context_.metrics.count_refusal(r.reason);
+  // Framing that was not understood leaves no trust in where the next request begins.
+  const bool is_framing_unsure = r.status == 400 || r.status == 501 || r.status == 505;
+  caller_->is_closing = is_framing_unsure || must_close();
+  if (caller_->is_gone) {
+    caller_->is_closing = true;
+    co_return;
+  }
+  co_await write_to_caller(refusal_answer(r, head_.request_id, is_head_method_, must_close()), {});
+}
+
+void request_run::settle_reservation(const exchange* ex) {
+  if (!reservation_) {
+    return;
+  }
+  const auto id = *std::exchange(reservation_, std::nullopt);
+  const bool was_refused = ex != nullptr && ex->end() == attempt_end::shed;
+  if (!may_have_run_ && (ex == nullptr || was_refused)) {
+    context_.hook.release(id);
+    return;
+  }
+  if (ex == nullptr || !ex->is_whole()) {
+    context_.hook.complete(id, std::nullopt);
+    return;
+  }
+  const auto& head = ex->answer();
+  context_.hook.complete(
+      id,
+      stored_answer{head.result_int(), std::string(head[http::field::content_type]), ex->held()});
+}
+
+awaitable<void> request_run::deliver_stored(const stored_answer& answer) {
+  response_header fields;
+  fields.result(answer.status);
+  if (!answer.content_type.empty()) {
+    fields.set(http::field::content_type, answer.content_type);
+  }
+  const body_framing framing{false, answer.body.size()};
+  auto head = caller_head(fields, framing, head_.request_id, must_close());
+  head.insert(head.size() - 2, "X-Kingcupshunt-Replayed: 1\r\n");
+  context_.metrics.count("replayed_answers_total");
+  co_await write_to_caller(head, answer.body);
+}
+
+awaitable<void> request_run::deliver(const exchange_ptr& ex) {
+  context_.metrics.count("answers_total", std::to_string(ex->answer().result_int() / 100) + "xx");
+  if (!ex->is_whole()) {
+    co_await deliver_rest(ex);
+    co_return;
+  }
+  settle_reservation(ex.get());
+  report(*ex);
+  body_framing framing{false, ex->held().size()};
+  if (ex->is_bodyless()) {
+    framing =
+        body_framing{ex->answer().count(http::field::transfer_encoding) > 0, ex->answer_length()};
+  }
+  if (ex->answer().result_int() == 204) {
+    framing = body_framing{};
+  }
+  co_await write_to_caller(caller_head(ex->answer(), framing, head_.request_id, must_close()),
+                           ex->held());
+}
+
+/// Passes an answer on piece by piece; what was collected before goes first.
+awaitable<void> request_run::deliver_rest(const exchange_ptr& ex) {
+  const body_framing framing{!ex->answer_length(), ex->answer_length()};
+  const bool is_reserved = reservation_.has_value();
+  co_await write_to_caller(caller_head(ex->answer(), framing, head_.request_id, must_close()), {});
+  std::string piece = ex->held();
+  std::size_t size = piece.size();
+  piece.resize(std::max(piece.size(), relay_piece_bytes));
+  auto state = body_state::more;
+  caller_->stream->expires_at(auth_.deadline);
+  for (;;) {
+    if (!caller_->is_gone && (size > 0 || state == body_state::done)) {
+      std::array<char, 24> line{};
+      const int line_size = std::snprintf(line.data(), line.size(), "%zx\r\n", size);
+      const std::string_view data{piece.data(), size};
+      const bool is_last = state == body_state::done;
+      error_code ec;
+      if (!framing.is_chunked) {
+        ec = co_await caller_->stream->write(data);
+      } else if (size > 0) {
+        ec = co_await caller_->stream->write({line.data(), static_cast<std::size_t>(line_size)},
+                                             data, is_last ? "\r\n0\r\n\r\n" : "\r\n");
+      } else {
+        ec = co_await caller_->stream->write("0\r\n\r\n");
+      }
+      caller_->is_gone = caller_->is_gone || ec.failed();
+    }
+    const bool is_ended =
+        state != body_state::more || caller_->is_cut || (caller_->is_gone && !is_reserved);
+    if (is_ended) {
+      break;
+    }
+    const auto got = co_await ex->read_more(piece.data(), piece.size());
+    size = got.size;
+    state = got.state;
+  }
+  if (state != body_state::done) {
+    // Closing inside the body tells the caller that the answer is not whole.
+    caller_->is_gone = true;
+    context_.metrics.count("answers_cut_total", health::to_string(ex->end()));
+    if (state == body_state::more) {
+      ex->cancel();
+    }
+  }
+  caller_->is_closing = caller_->is_closing || caller_->is_gone;
+  settle_reservation(ex.get());
+  report(*ex);
+}
+
+} // namespace kingcupshunt::proxy
--- /dev/null
+++ b/src/proxy/request_body.cpp
@@ -0,0 +1,66 @@
+#include "request_run.h"
+
+#include "kingcupshunt/proxy/head_checks.h"
+
+namespace kingcupshunt::proxy {
+
+namespace {
+
+constexpr std::size_t relay_piece_bytes = 64 * 1024;
+
+} // namespace
+
+std::optional<refusal> request_run::refusal_of_body(body_state state) const {
+  switch (state) {
+  case body_state::closed:
+    return refusal{499, "caller_gone", "the caller closed the connection", ran_state::no,
+                   std::nullopt};
+  case body_state::timed_out:
+    return refusal{408, "body_timeout", "the body did not arrive before the deadline",
+                   ran_state::no, std::nullopt};
+  case body_state::malformed:
+    return bad_request("bad_body", "the body's chunks are not valid");
+  default:
+    return std::nullopt;
+  }
+}
+
+/// Passes a streamed body on. One piece is held at a time, so that a slow upstream slows the
+/// caller down.
+awaitable<void> request_run::pump_body(exchange_ptr to) {
+  if (is_waiting_for_continue_) {
+    co_await send_continue();
+  }
+  caller_->stream->expires_at(auth_.deadline);
+  std::string piece(relay_piece_bytes, '\0');
+  bool is_last = false;
+  while (!is_last && !must_stop_pump_) {
+    const auto got =
+        co_await read_body(*caller_->stream, *caller_->parser, piece.data(), piece.size());
+    if (must_stop_pump_) {
+      break;
+    }
+    body_bytes_ += got.size;
+    body_failure_ = refusal_of_body(got.state);
+    caller_->is_gone = caller_->is_gone || got.state == body_state::closed;
+    if (!body_failure_ && body_bytes_ > auth_.route->body_limit) {
+      body_failure_ = refusal{413, "body_too_large", "the body is larger than the route allows",
+                              ran_state::unknown, std::nullopt};
+    }
+    if (body_failure_) {
+      break;
+    }
+    is_last = got.state == body_state::done;
+    const bool is_written = co_await to->write_body({piece.data(), got.size}, is_chunked_, is_last);
+    if (!is_written) {
+      break; // the upstream may have answered early; its answer is being read
+    }
+  }
+  is_pumping_ = false;
+  if (is_last) {
+    start_watch(caller_);
+  }
+  wake_->notify();
+}
+
+} // namespace kingcupshunt::proxy
--- /dev/null
+++ b/src/proxy/request_run.cpp
@@ -0,0 +1,328 @@
+#include "request_run.h"
+
+#include <algorithm>
+
+#include "kingcupshunt/proxy/head_checks.h"
+#include "kingcupshunt/proxy/header_rewrite.h"
+
+namespace kingcupshunt::proxy {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+std::string_view view_of(boost::beast::string_view s) noexcept {
+  return {s.data(), s.size()};
+}
+
+refusal not_run(unsigned status, std::string reason, std::string message) {
+  return refusal{status, std::move(reason), std::move(message), ran_state::no, std::nullopt};
+}
+
+/// Result of a hook that may answer later, shared with the hook.
+template <class T>
+struct pending {
+  std::optional<decided<T>> result;
+  bool is_abandoned = false;
+  std::shared_ptr<event> wake;
+};
+
+} // namespace
+
+request_run::request_run(entry_context& context, std::shared_ptr<caller_side> caller)
+    : context_(context), caller_(std::move(caller)),
+      wake_(std::make_shared<event>(context.executor)) {
+  caller_->wake = wake_;
+}
+
+awaitable<void> request_run::serve() {
+  std::optional<refusal> refused = prepare();
+  if (!refused && head_.path.starts_with("/.kingcupshunt/")) {
+    const bool is_answered = co_await answer_locally();
+    if (!is_answered) {
+      co_await refuse(not_run(404, "not_found", "no such path on this instance"));
+    }
+    co_return;
+  }
+  if (!refused) {
+    refused = prepare_body();
+  }
+  if (!refused) {
+    refused = co_await gate();
+  }
+  if (refused) {
+    co_await refuse(*refused);
+  } else if (replay_) {
+    co_await deliver_stored(*replay_);
+  } else {
+    co_await try_upstreams();
+  }
+  co_await stop_watch(*caller_);
+  if (is_admitted_) {
+    context_.hook.finish(auth_);
+  }
+}
+
+awaitable<void> request_run::try_upstreams() {
+  const auto ex = co_await find_answer();
+  if (ex) {
+    co_await deliver(ex);
+  } else {
+    settle_reservation(nullptr);
+    co_await refuse(refusal_of_failure());
+  }
+  co_return;
+}
+
+std::optional<refusal> request_run::prepare() {
+  const auto& head = caller_->parser->get().base();
+  is_head_method_ = head.method() == http::verb::head;
+  head_.request_id = context_.next_request_id();
+  head_.method = std::string(head.method_string());
+  head_.caller_address = caller_->address;
+  if (auto problem = check_request(head)) {
+    return problem;
+  }
+  auto key = bearer_key_of(head);
+  if (!key) {
+    return key.error();
+  }
+  head_.bearer_key = std::move(key.value());
+  auto path = path_of(view_of(head.target()));
+  if (!path) {
+    return path.error();
+  }
+  head_.path = std::move(path.value());
+  head_.host = host_of(view_of(head[http::field::host]));
+  if (const auto id = view_of(head["X-Request-Id"]); is_usable_request_id(id, head_.bearer_key)) {
+    head_.request_id = id;
+  }
+  if (const auto it = head.find("Idempotency-Key"); it != head.end()) {
+    head_.idempotency_key = std::string(it->value());
+  }
+  if (const auto text = head[http::field::content_length]; !text.empty()) {
+    head_.content_length = std::stoull(std::string(text));
+  }
+  if (head_.bearer_key) {
+    const auto has_key = [&](std::string_view text) {
+      return contains_key(text, *head_.bearer_key);
+    };
+    if (has_key(view_of(head.target())) || has_key(head_.method) ||
+        has_key(view_of(head[http::field::host])) ||
+        has_key(head_.idempotency_key.value_or(std::string()))) {
+      return bad_request("key_outside_authorization",
+                         "the key stands outside the Authorization header");
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<refusal> request_run::prepare_body() {
+  auto authorized = context_.hook.authorize(head_);
+  if (!authorized) {
+    return authorized.error();
+  }
+  auth_ = std::move(authorized.value());
+  auth_.deadline = std::min(auth_.deadline, started_ + context_.settings.total_timeout);
+
+  const auto& head = caller_->parser->get().base();
+  const auto& route = *auth_.route;
+  is_chunked_ = caller_->parser->chunked();
+  is_waiting_for_continue_ = head.count(http::field::expect) > 0 && !caller_->parser->is_done();
+  const auto length = head_.content_length.value_or(0);
+  if (length > route.body_limit) {
+    return not_run(413, "body_too_large", "the body is larger than the route allows");
+  }
+  if (!route.is_repeatable) {
+    if (!head_.idempotency_key || head_.idempotency_key->empty()) {
+      return not_run(428, "idempotency_key_required",
+                     "this route needs an Idempotency-Key header, so that a resend is told from "
+                     "a new request");
+    }
+    if (length > context_.settings.max_replay_bytes) {
+      return not_run(413, "non_repeatable_body_too_large",
+                     "the body of a request that may not be repeated is at most 64 KiB");
+    }
+  }
+  is_streamed_ = !caller_->parser->is_done() && route.is_repeatable &&
+                 (is_chunked_ || length > context_.settings.max_replay_bytes);
+  return std::nullopt;
+}
+
+awaitable<bool> request_run::answer_locally() {
+  if (!context_.intercept) {
+    co_return false;
+  }
+  const auto answer = context_.intercept(head_);
+  if (!answer) {
+    co_return false;
+  }
+  response_header fields;
+  fields.result(answer->status);
+  fields.set(http::field::content_type, answer->content_type);
+  if (answer->max_age) {
+    fields.set(http::field::cache_control, "max-age=" + std::to_string(answer->max_age->count()));
+  }
+  const body_framing framing{false, answer->body.size()};
+  co_await write_to_caller(caller_head(fields, framing, head_.request_id, must_close()),
+                           is_head_method_ ? std::string_view{} : answer->body);
+  co_return true;
+}
+
+/// Everything between the route's checks and the first try.
+awaitable<std::optional<refusal>> request_run::gate() {
+  const bool is_read_first = !is_streamed_ && !is_waiting_for_continue_;
+  if (is_read_first) {
+    // Read before a turn is taken, so that a slow caller does not hold one.
+    auto refused = co_await read_whole_body();
+    if (refused) {
+      co_return refused;
+    }
+    if (!caller_->stream->buffered().empty()) {
+      co_return bad_request("pipelined_request", "bytes follow the request before its answer");
+    }
+    start_watch(caller_);
+  }
+  auto refused = co_await admit();
+  if (refused) {
+    co_return refused;
+  }
+  if (!is_streamed_ && is_waiting_for_continue_) {
+    co_await send_continue();
+    refused = co_await read_whole_body();
+    if (refused) {
+      co_return refused;
+    }
+    start_watch(caller_);
+  }
+  prepare_outgoing();
+  if (!auth_.route->is_repeatable) {
+    refused = co_await reserve();
+  }
+  co_return refused;
+}
+
+awaitable<void> request_run::send_continue() {
+  is_waiting_for_continue_ = false;
+  caller_->stream->expires_at(auth_.deadline);
+  co_await caller_->stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+awaitable<std::optional<refusal>> request_run::read_whole_body() {
+  auto& parser = *caller_->parser;
+  caller_->stream->expires_at(auth_.deadline);
+  std::string piece;
+  while (!parser.is_done()) {
+    piece.resize(head_.content_length ? std::max<std::uint64_t>(*head_.content_length, 1) : 16384);
+    const auto got = co_await read_body(*caller_->stream, parser, piece.data(), piece.size());
+    body_.append(piece, 0, got.size);
+    if (auto refused = refusal_of_body(got.state)) {
+      co_return refused;
+    }
+    if (body_.size() > auth_.route->body_limit) {
+      co_return not_run(413, "body_too_large", "the body is larger than the route allows");
+    }
+    if (body_.size() > context_.settings.max_replay_bytes) {
+      co_return not_run(413, "non_repeatable_body_too_large",
+                        "the body of a request that may not be repeated is at most 64 KiB");
+    }
+  }
+  co_return std::nullopt;
+}
+
+std::string request_run::workspace_name() const {
+  return auth_.workspace ? auth_.workspace->name : std::string();
+}
+
+void request_run::prepare_outgoing() {
+  const auto& head = caller_->parser->get().base();
+  out_ = std::make_shared<outgoing>();
+  body_framing framing{is_streamed_ && is_chunked_, std::nullopt};
+  if (is_streamed_) {
+    framing.length = head_.content_length;
+  } else if (head_.content_length || is_chunked_) {
+    framing.length = body_.size();
+  }
+  out_->head = upstream_head(head, head_.bearer_key, workspace_name(), head_.request_id, framing);
+  out_->is_streamed = is_streamed_;
+  out_->is_head = is_head_method_;
+  out_->is_resendable = auth_.route->is_repeatable && !is_streamed_;
+  out_->must_store = !auth_.route->is_repeatable;
+  out_->deadline = auth_.deadline;
+  if (!is_streamed_) {
+    std::string identity = workspace_name();
+    identity.append("\n").append(auth_.route->name).append("\n").append(head_.method);
+    identity.append("\n").append(view_of(head.target())).append("\n").append(body_);
+    fingerprint_ = base::hash64(identity);
+    out_->body = std::move(body_);
+  }
+}
+
+/// Waits until a hook has answered, the caller is gone or the deadline has passed.
+template <class Waiting>
+awaitable<std::optional<refusal>> request_run::wait_for(const Waiting& waiting) {
+  while (!waiting->result) {
+    if (caller_->is_gone) {
+      waiting->is_abandoned = true;
+      co_return not_run(499, "caller_gone", "the caller closed the connection");
+    }
+    if (base::clock::now() >= auth_.deadline) {
+      waiting->is_abandoned = true;
+      co_return not_run(504, "deadline_exceeded", "the deadline passed before the request ran");
+    }
+    co_await wake_->wait_until(auth_.deadline);
+  }
+  if (!*waiting->result) {
+    co_return waiting->result->error();
+  }
+  co_return std::nullopt;
+}
+
+awaitable<std::optional<refusal>> request_run::admit() {
+  auto waiting = std::make_shared<pending<void>>();
+  waiting->wake = wake_;
+  context_.hook.admit(head_, auth_,
+                      [waiting, &context = context_, auth = auth_](decided<void> result) {
+                        if (!waiting->is_abandoned) {
+                          waiting->result.emplace(std::move(result));
+                          waiting->wake->notify();
+                        } else if (result) {
+                          context.hook.finish(auth);
+                        }
+                      });
+  const auto refused = co_await wait_for(waiting);
+  is_admitted_ = !refused;
+  co_return refused;
+}
+
+awaitable<std::optional<refusal>> request_run::reserve() {
+  auto waiting = std::make_shared<pending<reservation>>();
+  waiting->wake = wake_;
+  context_.hook.reserve(head_, auth_, fingerprint_,
+                        [waiting, &context = context_](decided<reservation> result) {
+                          if (!waiting->is_abandoned) {
+                            waiting->result.emplace(std::move(result));
+                            waiting->wake->notify();
+                          } else if (result && !result.value().answer) {
+                            context.hook.release(result.value().attempt_id);
+                          }
+                        });
+  auto refused = co_await wait_for(waiting);
+  if (refused) {
+    co_return refused;
+  }
+  auto& granted = waiting->result->value();
+  if (granted.answer) {
+    replay_ = std::move(granted.answer);
+    co_return std::nullopt;
+  }
+  // The grant may arrive together with the deadline or the caller's end.
+  if (caller_->is_gone || base::clock::now() >= auth_.deadline) {
+    context_.hook.release(granted.attempt_id);
+    co_return not_run(504, "deadline_exceeded", "the deadline passed before the request ran");
+  }
+  reservation_ = granted.attempt_id;
+  co_return std::nullopt;
+}
+
+} // namespace kingcupshunt::proxy
--- /dev/null
+++ b/src/proxy/request_run.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "caller_side.h"
+#include "entry_context.h"
+#include "exchange.h"
+
+namespace kingcupshunt::proxy {
+
+/// Serves one request whose head has been parsed: decisions, tries and the answer.
+class request_run : public std::enable_shared_from_this<request_run> {
+public:
+  request_run(entry_context& context, std::shared_ptr<caller_side> caller);
+
+  /// Serves the request. Sets caller->is_closing when no further request may be read.
+  awaitable<void> serve();
+
+private:
+  using exchange_ptr = std::shared_ptr<exchange>;
+
+  /// One upstream picked for the request, with a check on a new connection if the first, reused
+  /// connection stayed silent.
+  struct attempt_pair {
+    exchange_ptr main;
+    exchange_ptr check;
+  };
+
+  // request_run.cpp: what comes before the first try.
+  awaitable<void> try_upstreams();
+  std::optional<refusal> prepare();
+  std::optional<refusal> prepare_body();
+  awaitable<bool> answer_locally();
+  awaitable<std::optional<refusal>> gate();
+  awaitable<std::optional<refusal>> admit();
+  awaitable<std::optional<refusal>> reserve();
+  awaitable<std::optional<refusal>> read_whole_body();
+  awaitable<void> send_continue();
+  std::string workspace_name() const;
+  void prepare_outgoing();
+  template <class Waiting>
+  awaitable<std::optional<refusal>> wait_for(const Waiting& waiting);
+
+  // request_tries.cpp: tries, retries, hedging.
+  awaitable<exchange_ptr> find_answer();
+  bool start_try();
+  bool start_retry(const health::attempt& last);
+  void start_hedge();
+  void start_checks(base::time_point now);
+  exchange_ptr settle_finished();
+  exchange_ptr settle(attempt_pair pair);
+  void cancel_all();
+  base::time_point next_timer() const;
+  void report(exchange& ex);
+  refusal refusal_of_failure() const;
+
+  // request_body.cpp: streamed request bodies.
+  awaitable<void> pump_body(exchange_ptr to);
+  std::optional<refusal> refusal_of_body(body_state state) const;
+
+  // request_answer.cpp: what the caller gets.
+  awaitable<void> refuse(const refusal& r);
+  awaitable<void> write_to_caller(std::string_view head, std::string_view body);
+  awaitable<void> deliver(const exchange_ptr& ex);
+  awaitable<void> deliver_rest(const exchange_ptr& ex);
+  awaitable<void> deliver_stored(const stored_answer& answer);
+  void settle_reservation(const exchange* ex);
+  bool must_close() const;
+  base::time_point write_deadline() const;
+
+  entry_context& context_;
+  std::shared_ptr<caller_side> caller_;
+  std::shared_ptr<event> wake_;
+  base::time_point started_ = base::clock::now();
+
+  request_head head_;
+  authorized_request auth_;
+  std::shared_ptr<outgoing> out_;
+  std::string body_;
+  std::uint64_t fingerprint_ = 0;
+  bool is_head_method_ = false;
+  bool is_chunked_ = false;
+  bool is_streamed_ = false;
+  bool is_waiting_for_continue_ = false;
+  bool is_admitted_ = false;
+
+  std::optional<std::uint64_t> reservation_; ///< attempt that may send
+  std::optional<stored_answer> replay_;
+
+  std::vector<std::string> tried_;
+  std::vector<attempt_pair> live_;
+  exchange_ptr fallback_; ///< whole answer with an error status, given when no try does better
+  std::optional<refusal> failure_;
+  std::optional<base::time_point> hedge_at_;
+  unsigned tries_ = 0;
+  bool may_have_run_ = false;
+  bool has_checked_ = false;
+
+  std::uint64_t body_bytes_ = 0;
+  bool is_pumping_ = false;
+  bool must_stop_pump_ = false;
+  std::optional<refusal> body_failure_;
+};
+
+} // namespace kingcupshunt::proxy
--- /dev/null
+++ b/src/proxy/request_tries.cpp
@@ -0,0 +1,254 @@
+#include <algorithm>
+
+#include "request_run.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace kingcupshunt::proxy {
+
+using health::attempt_end;
+
+namespace {
+
+refusal failed(unsigned status, std::string reason, std::string message, bool may_have_run) {
+  return refusal{status, std::move(reason), std::move(message),
+                 may_have_run ? ran_state::unknown : ran_state::no, std::nullopt};
+}
+
+refusal refusal_of(attempt_end end, bool may_have_run) {
+  switch (end) {
+  case attempt_end::connect_failed:
+    return failed(502, "upstream_connect_failed", "no connection to a backend server",
+                  may_have_run);
+  case attempt_end::closed_unanswered:
+    return failed(502, "upstream_closed", "the backend server closed without an answer",
+                  may_have_run);
+  case attempt_end::truncated:
+    return failed(502, "answer_truncated", "the backend server's answer was cut short",
+                  may_have_run);
+  case attempt_end::malformed:
+    return failed(502, "answer_malformed", "the backend server's answer is not valid HTTP",
+                  may_have_run);
+  case attempt_end::stale_connection:
+    return failed(502, "upstream_connection_stale",
+                  "the connection to the backend server had ended", may_have_run);
+  default:
+    return failed(504, "upstream_timeout", "no whole answer before the deadline", may_have_run);
+  }
+}
+
+bool is_error_answer(const exchange& ex) {
+  return ex.end() == attempt_end::error_status || ex.end() == attempt_end::shed;
+}
+
+} // namespace
+
+/// Runs tries until one has an answer to give. Null when none has; failure_ says why.
+awaitable<request_run::exchange_ptr> request_run::find_answer() {
+  if (!start_try()) {
+    co_return nullptr;
+  }
+  if (out_->is_resendable && context_.hook.hedge_delay) {
+    if (const auto delay = context_.hook.hedge_delay(auth_)) {
+      hedge_at_ = base::clock::now() + *delay;
+    }
+  }
+  for (;;) {
+    const bool is_abandoned = caller_->is_cut || (caller_->is_gone && !reservation_);
+    if (body_failure_ || is_abandoned) {
+      cancel_all();
+      co_return nullptr;
+    }
+    if (const auto winner = settle_finished()) {
+      cancel_all();
+      co_return winner;
+    }
+    if (live_.empty()) {
+      co_return std::exchange(fallback_, nullptr);
+    }
+    const auto now = base::clock::now();
+    if (hedge_at_ && now >= *hedge_at_) {
+      start_hedge();
+    }
+    start_checks(now);
+    co_await wake_->wait_until(next_timer());
+  }
+}
+
+bool request_run::start_try() {
+  for (; tries_ < context_.settings.max_tries; ++tries_) {
+    auto picked = context_.hook.pick(auth_, fingerprint_, tried_);
+    if (!picked) {
+      if (!failure_) {
+        failure_ = picked.error();
+      }
+      return false;
+    }
+    ++tries_;
+    const auto need = out_->is_resendable ? connection_need::any : connection_need::verified;
+    tried_.push_back(picked.value().id);
+    auto ex = std::make_shared<exchange>(context_, std::move(picked.value()), out_, need, wake_);
+    ex->start();
+    live_.push_back({std::move(ex), nullptr});
+    return true;
+  }
+  return false;
+}
+
+/// Another try after `last`, when the request can be sent again and the budget allows it.
+bool request_run::start_retry(const health::attempt& last) {
+  const bool was_not_sent = last.end == attempt_end::connect_failed;
+  const bool is_allowed =
+      out_->is_resendable || (was_not_sent && !may_have_run_ && body_bytes_ == 0);
+  if (!is_allowed || base::clock::now() >= auth_.deadline ||
+      tries_ >= context_.settings.max_tries || caller_->is_gone) {
+    return false;
+  }
+  if (!context_.hook.may_retry || !context_.hook.may_retry(auth_, last)) {
+    return false;
+  }
+  if (!start_try()) {
+    return false;
+  }
+  context_.metrics.count_retry(health::to_string(last.end));
+  return true;
+}
+
+void request_run::start_hedge() {
+  hedge_at_.reset();
+  const auto failure = failure_;
+  if (live_.size() == 1 && start_try()) {
+    context_.metrics.count_retry("hedge");
+  }
+  failure_ = failure; // a refused hedge is no failure of the request
+}
+
+/// A reused connection that stays silent is told from a dead server by the same request on a new
+/// connection to the same upstream, once for a request.
+void request_run::start_checks(base::time_point now) {
+  for (auto& pair : live_) {
+    const auto silent_since = pair.main->silent_since();
+    const bool is_due = silent_since && now - *silent_since >= context_.settings.silence_after;
+    if (!is_due || has_checked_ || !out_->is_resendable) {
+      continue;
+    }
+    has_checked_ = true;
+    pair.check = std::make_shared<exchange>(context_, pair.main->target(), out_,
+                                            connection_need::fresh, wake_);
+    pair.check->start();
+    context_.metrics.count_retry("silent_connection");
+  }
+}
+
+base::time_point request_run::next_timer() const {
+  auto next = hedge_at_.value_or(base::time_point::max());
+  for (const auto& pair : live_) {
+    if (const auto since = pair.main->silent_since(); since && !has_checked_) {
+      next = std::min(next, *since + context_.settings.silence_after);
+    }
+  }
+  return next;
+}
+
+/// Takes finished tries out of the live ones; returns the one whose answer is given.
+request_run::exchange_ptr request_run::settle_finished() {
+  for (std::size_t i = 0; i < live_.size();) {
+    const auto& pair = live_[i];
+    if (out_->is_streamed && pair.main->is_ready_for_body() && !is_pumping_ && body_bytes_ == 0 &&
+        !caller_->parser->is_done()) {
+      is_pumping_ = true;
+      boost::asio::co_spawn(
+          context_.executor,
+          [self = shared_from_this(), main = pair.main] { return self->pump_body(main); },
+          boost::asio::detached);
+    }
+    const bool has_check_answer = pair.check && pair.check->has_answer();
+    const bool is_settled = pair.main->is_finished() || has_check_answer;
+    if (!is_settled) {
+      ++i;
+      continue;
+    }
+    const auto taken = live_[i];
+    live_.erase(live_.begin() + static_cast<std::ptrdiff_t>(i));
+    if (auto winner = settle(taken)) {
+      return winner;
+    }
+    i = 0;
+  }
+  return nullptr;
+}
+
+/// Ends one pair: its answer wins, is kept as fallback, or the failure may lead to a retry.
+request_run::exchange_ptr request_run::settle(attempt_pair pair) {
+  exchange_ptr ended = pair.main;
+  if (pair.check && pair.check->has_answer() && !pair.main->has_answer()) {
+    // The new connection answers: the old one is dead, not the server.
+    pair.main->cancel();
+    context_.pool.renew(pair.main->target().id);
+    context_.metrics.count("upstream_stale_connections_total", "silent");
+    ended = pair.check;
+  } else if (pair.check) {
+    pair.check->cancel();
+  }
+  may_have_run_ = may_have_run_ || (ended->was_sent() && ended->end() != attempt_end::shed);
+  if (ended->has_answer() && !is_error_answer(*ended)) {
+    return ended; // reported when its body has been given
+  }
+  if (ended->has_answer() && !ended->is_whole()) {
+    if (live_.empty()) {
+      return ended;
+    }
+    ended->cancel();
+  }
+  if (is_pumping_) {
+    return ended->has_answer() ? ended : (report(*ended), nullptr);
+  }
+  report(*ended);
+  if (ended->has_answer()) {
+    fallback_ = ended;
+  } else if (ended->had_no_connection()) {
+    failure_ = failed(503, "upstream_connections_exhausted",
+                      "all connections to the backend server are in use", may_have_run_);
+    if (live_.empty()) {
+      start_try();
+    }
+    return nullptr;
+  } else {
+    failure_ = refusal_of(ended->end(), may_have_run_);
+  }
+  if (live_.empty()) {
+    start_retry(ended->to_attempt(auth_, fingerprint_));
+  }
+  return nullptr;
+}
+
+void request_run::cancel_all() {
+  for (auto& pair : live_) {
+    may_have_run_ = may_have_run_ || pair.main->was_sent();
+    pair.main->cancel();
+    if (pair.check) {
+      pair.check->cancel();
+    }
+    report(*pair.main);
+  }
+  live_.clear();
+}
+
+void request_run::report(exchange& ex) {
+  if (ex.mark_reported()) {
+    context_.hook.report(auth_, ex.to_attempt(auth_, fingerprint_));
+  }
+}
+
+refusal request_run::refusal_of_failure() const {
+  refusal r = body_failure_ ? *body_failure_
+              : failure_    ? *failure_
+                            : failed(499, "caller_gone", "the caller closed the connection", false);
+  if (may_have_run_) {
+    r.ran = ran_state::unknown;
+  }
+  return r;
+}
+
+} // namespace kingcupshunt::proxy
--- /dev/null
+++ b/src/proxy/session.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "caller_side.h"
+#include "entry_context.h"
+
+namespace kingcupshunt::proxy {
+
+/// One caller connection: reads request heads one after the other and serves each.
+class session : public std::enable_shared_from_this<session> {
+public:
+  session(std::shared_ptr<entry_context> context, tcp::socket socket, std::string address);
+
+  /// Serves until the connection ends.
+  awaitable<void> run();
+
+  bool is_idle() const noexcept { return is_idle_; }
+
+  /// Closes the connection at once; upstream work of its request is cancelled.
+  void cut();
+
+private:
+  awaitable<bool> wait_for_request();
+  awaitable<bool> read_head();
+  awaitable<void> refuse(const refusal& r);
+
+  std::shared_ptr<entry_context> context_;
+  std::shared_ptr<caller_side> caller_;
+  bool is_idle_ = true;
+};
+
+} // namespace kingcupshunt::proxy
--- /dev/null
+++ b/src/proxy/timed_socket.cpp
@@ -0,0 +1,144 @@
+#include "timed_socket.h"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace kingcupshunt::proxy {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t largest_read = 64 * 1024;
+
+error_code timed_out_error() {
+  return asio::error::make_error_code(asio::error::timed_out);
+}
+
+} // namespace
+
+timed_socket::timed_socket(tcp::socket socket)
+    : socket_(std::move(socket)), timer_(socket_.get_executor()) {}
+
+std::string_view timed_socket::buffered() const noexcept {
+  const auto data = buffer_.data();
+  return {static_cast<const char*>(data.data()), data.size()};
+}
+
+void timed_socket::expires_at(base::time_point t) {
+  expiry_ = t;
+  is_timed_out_ = false;
+  if (t < armed_for_) {
+    arm();
+  }
+}
+
+void timed_socket::arm() {
+  armed_for_ = expiry_;
+  timer_.expires_at(expiry_);
+  timer_.async_wait([weak = weak_from_this()](error_code ec) {
+    const auto self = weak.lock();
+    if (!self || ec == asio::error::operation_aborted) {
+      return;
+    }
+    self->armed_for_ = base::time_point::max();
+    if (base::clock::now() >= self->expiry_) {
+      self->is_timed_out_ = true;
+      self->socket_.cancel(ec);
+    } else if (self->expiry_ != base::time_point::max()) {
+      self->arm();
+    }
+  });
+}
+
+void timed_socket::close() {
+  error_code ignored;
+  socket_.close(ignored);
+  timer_.cancel(ignored);
+}
+
+awaitable<error_code> timed_socket::connect(tcp::endpoint to) {
+  error_code ec;
+  if (is_timed_out_) {
+    co_return timed_out_error();
+  }
+  co_await socket_.async_connect(to, asio::redirect_error(asio::use_awaitable, ec));
+  if (!ec) {
+    socket_.set_option(tcp::no_delay(true), ec);
+  }
+  co_return ec;
+}
+
+awaitable<error_code> timed_socket::read_some() {
+  error_code ec;
+  if (is_timed_out_) {
+    co_return timed_out_error();
+  }
+  // The buffer is prepared after the wait, so that a silent connection holds no memory for it.
+  if (buffer_.capacity() == 0) {
+    ec = co_await wait_readable();
+    if (ec) {
+      co_return ec;
+    }
+  }
+  const auto space = buffer_.prepare(next_read_);
+  const auto n =
+      co_await socket_.async_read_some(space, asio::redirect_error(asio::use_awaitable, ec));
+  buffer_.commit(n);
+  if (n == next_read_) {
+    next_read_ = std::min(next_read_ * 2, largest_read);
+  }
+  co_return ec;
+}
+
+awaitable<error_code> timed_socket::write(std::string_view first, std::string_view second,
+                                          std::string_view third) {
+  error_code ec;
+  if (is_timed_out_) {
+    co_return timed_out_error();
+  }
+  const std::array<asio::const_buffer, 3> buffers = {asio::buffer(first), asio::buffer(second),
+                                                     asio::buffer(third)};
+  written_ +=
+      co_await asio::async_write(socket_, buffers, asio::redirect_error(asio::use_awaitable, ec));
+  co_return ec;
+}
+
+void timed_socket::release_buffer() {
+  if (buffer_.size() == 0) {
+    buffer_ = boost::beast::flat_buffer();
+    next_read_ = smallest_read;
+  }
+}
+
+awaitable<error_code> timed_socket::wait_readable() {
+  error_code ec;
+  if (is_timed_out_) {
+    co_return timed_out_error();
+  }
+  co_await socket_.async_wait(tcp::socket::wait_read,
+                              asio::redirect_error(asio::use_awaitable, ec));
+  co_return ec;
+}
+
+error_code timed_socket::discard_available(std::size_t& n) {
+  std::array<char, 4096> bytes{};
+  error_code ec;
+  socket_.non_blocking(true, ec);
+  n = socket_.receive(asio::buffer(bytes), 0, ec);
+  return ec;
+}
+
+bool timed_socket::has_pending_input() {
+  char byte = 0;
+  error_code ec;
+  socket_.non_blocking(true, ec);
+  socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+  return ec != asio::error::would_block;
+}
+
+} // namespace kingcupshunt::proxy
--- /dev/null
+++ b/src/proxy/timed_socket.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <utility>
+
+#include <cstddef>
+#include <memory>
+#include <string_view>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include "kingcupshunt/base/time.h"
+
+namespace kingcupshunt::proxy {
+
+using tcp = boost::asio::ip::tcp;
+using boost::system::error_code;
+template <class T>
+using awaitable = boost::asio::awaitable<T>;
+
+/// A TCP socket with a read buffer and one expiry for whatever operation is pending. The timer is
+/// armed lazily: moving the expiry to a later time costs no timer operation.
+class timed_socket : public std::enable_shared_from_this<timed_socket> {
+public:
+  explicit timed_socket(tcp::socket socket);
+
+  tcp::socket& socket() noexcept { return socket_; }
+  boost::beast::flat_buffer& buffer() noexcept { return buffer_; }
+  std::string_view buffered() const noexcept;
+
+  /// Cancels pending and fails further operations at `t`, until a later expiry is set.
+  void expires_at(base::time_point t);
+  bool is_timed_out() const noexcept { return is_timed_out_; }
+  bool is_open() const noexcept { return socket_.is_open(); }
+
+  /// Closes the socket; pending operations end with operation_aborted.
+  void close();
+
+  /// Connects within the expiry.
+  awaitable<error_code> connect(tcp::endpoint to);
+
+  /// Appends what has arrived, at least one byte, to the buffer.
+  awaitable<error_code> read_some();
+
+  /// Writes all buffers and adds the bytes taken by the operating system to written().
+  awaitable<error_code> write(std::string_view first, std::string_view second = {},
+                              std::string_view third = {});
+  std::size_t written() const noexcept { return written_; }
+  void reset_written() noexcept { written_ = 0; }
+
+  /// Frees the empty read buffer of a connection that becomes idle.
+  void release_buffer();
+
+  /// Waits until bytes or the end of the stream can be read.
+  awaitable<error_code> wait_readable();
+
+  /// Reads up to 4 KiB without waiting and drops it. Returns would_block when nothing is there.
+  error_code discard_available(std::size_t& n);
+
+  /// True when the peer has closed the connection or has sent something. Reads nothing.
+  bool has_pending_input();
+
+private:
+  static constexpr std::size_t smallest_read = 4096;
+
+  void arm();
+
+  tcp::socket socket_;
+  boost::beast::flat_buffer buffer_;
+  boost::asio::steady_timer timer_;
+  base::time_point expiry_ = base::time_point::max();
+  base::time_point armed_for_ = base::time_point::max();
+  std::size_t written_ = 0;
+  std::size_t next_read_ = smallest_read;
+  bool is_timed_out_ = false;
+};
+
+} // namespace kingcupshunt::proxy
