--- a/include/kingcupshunt/proxy/entry_settings.h
+++ b/include/kingcupshunt/proxy/entry_settings.h
@@ -13,15 +13,16 @@
   std::string address = "127.0.0.1"; ///< IP address to listen on
   std::uint16_t port = 0;            ///< 0: any free port
 
-  std::size_t max_connections = 10000;             ///< open caller connections
-  std::size_t max_connections_per_caller = 1000;   ///< open connections of one IP address
-  std::size_t max_head_bytes = 16 * 1024;          ///< request line and headers
-  std::size_t max_header_fields = 100;             ///< header fields of one request
-  std::size_t max_answer_head_bytes = 32 * 1024;   ///< status line and headers of an upstream
-  std::size_t max_replay_bytes = 64 * 1024;        ///< longest body kept to be sent again
-  std::size_t max_stored_answer_bytes = 64 * 1024; ///< longest answer kept for resends
-  std::size_t max_drain_bytes = 256 * 1024;        ///< rest of a refused body that is read
-  unsigned max_tries = 4;                          ///< tries of one request, hedges included
+  std::size_t max_connections = 10000;                 ///< open caller connections
+  std::size_t max_connections_per_caller = 1000;       ///< open connections of one IP address
+  std::size_t max_head_bytes = std::size_t{16} * 1024; ///< request line and headers
+  std::size_t max_header_fields = 100;                 ///< header fields of one request
+  std::size_t max_answer_head_bytes =
+      std::size_t{32} * 1024;                            ///< status line and headers of an upstream
+  std::size_t max_replay_bytes = std::size_t{64} * 1024; ///< longest body kept to be sent again
+  std::size_t max_stored_answer_bytes = std::size_t{64} * 1024; ///< longest answer kept for resends
+  std::size_t max_drain_bytes = std::size_t{256} * 1024; ///< rest of a refused body that is read
+  unsigned max_tries = 4;                                ///< tries of one request, hedges included
 
   base::milliseconds idle_timeout{60000};  ///< caller connection between two requests
   base::milliseconds head_timeout{10000};  ///< from a request's first byte to its head's end
--- a/include/kingcupshunt/proxy/head_checks.h
+++ b/include/kingcupshunt/proxy/head_checks.h
@@ -19,6 +19,9 @@
 /// Offset just behind the blank line that ends a head, or npos. Search begins at `from`.
 std::size_t find_head_end(std::string_view data, std::size_t from) noexcept;
 
+/// What check_raw_head returns when only the count of fields is wrong.
+inline constexpr const char* too_many_fields = "too many header fields";
+
 /// Checks the bytes of a head, request or answer, before they are parsed: line ends, control
 /// characters, folded lines and the count of fields. Returns what is wrong, or nullptr.
 const char* check_raw_head(std::string_view head, std::size_t max_fields) noexcept;
--- a/include/kingcupshunt/proxy/header_rewrite.h
+++ b/include/kingcupshunt/proxy/header_rewrite.h
@@ -33,6 +33,9 @@
 /// The deadline field and the blank line that end an upstream head.
 std::string deadline_field(std::int64_t remaining_ms);
 
+/// The size line that comes before a chunk of `n` bytes.
+std::string chunk_size_line(std::size_t n);
+
 /// Status line and end-to-end fields of an upstream's answer with the blank line.
 std::string caller_head(const response_header& head, const body_framing& framing,
                         std::string_view request_id, bool is_close);
--- a/src/proxy/body_reader.cpp
+++ b/src/proxy/body_reader.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// A chunk header or trailer that does not end within this many bytes is refused.
-constexpr std::size_t max_unparsed_bytes = 64 * 1024;
+constexpr std::size_t max_unparsed_bytes = std::size_t{64} * 1024;
 
 } // namespace
 
--- a/src/proxy/caller_side.cpp
+++ b/src/proxy/caller_side.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// A caller that sends more than this before its answer is taken for gone.
-constexpr std::size_t max_early_bytes = 64 * 1024;
+constexpr std::size_t max_early_bytes = std::size_t{64} * 1024;
 
 awaitable<void> watch(std::shared_ptr<caller_side> caller) {
   std::size_t early = 0;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -1,8 +1,6 @@
 #include "exchange.h"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,12 +18,6 @@
 
 constexpr std::size_t max_answer_fields = 200;
 
-std::string chunk_size_line(std::size_t n) {
-  std::array<char, 24> line{};
-  const int size = std::snprintf(line.data(), line.size(), "%zx\r\n", n);
-  return {line.data(), static_cast<std::size_t>(size)};
-}
-
 } // namespace
 
 exchange::exchange(entry_context& context, upstream_target target,
--- a/src/proxy/head_checks.cpp
+++ b/src/proxy/head_checks.cpp
@@ -104,7 +104,7 @@
     }
   }
   // The first line and the blank line are no fields.
-  return lines > max_fields + 2 ? "too many header fields" : nullptr;
+  return lines > max_fields + 2 ? too_many_fields : nullptr;
 }
 
 refusal bad_request(std::string reason, std::string message) {
--- a/src/proxy/header_rewrite.cpp
+++ b/src/proxy/header_rewrite.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <cstdio>
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/status.hpp>
@@ -163,6 +164,12 @@
          "\r\n\r\n";
 }
 
+std::string chunk_size_line(std::size_t n) {
+  std::array<char, 24> line{};
+  const int size = std::snprintf(line.data(), line.size(), "%zx\r\n", n);
+  return {line.data(), static_cast<std::size_t>(size)};
+}
+
 std::string caller_head(const response_header& head, const body_framing& framing,
                         std::string_view request_id, bool is_close) {
   const auto connection = connection_values(head);
--- a/src/proxy/request_answer.cpp
+++ b/src/proxy/request_answer.cpp
@@ -1,6 +1,4 @@
 #include <algorithm>
-#include <array>
-#include <cstdio>
 
 #include "request_run.h"
 
@@ -13,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t relay_piece_bytes = 64 * 1024;
+constexpr std::size_t relay_piece_bytes = std::size_t{64} * 1024;
 
 } // namespace
 
@@ -50,7 +48,8 @@
     caller_->is_closing = true;
     co_return;
   }
-  co_await write_to_caller(refusal_answer(r, head_.request_id, is_head_method_, must_close()), {});
+  const auto text = refusal_answer(r, head_.request_id, is_head_method_, must_close());
+  co_await write_to_caller(text, {});
 }
 
 void request_run::settle_reservation(const exchange* ex) {
@@ -102,15 +101,16 @@
   if (ex->answer().result_int() == 204) {
     framing = body_framing{};
   }
-  co_await write_to_caller(caller_head(ex->answer(), framing, head_.request_id, must_close()),
-                           ex->held());
+  const auto head = caller_head(ex->answer(), framing, head_.request_id, must_close());
+  co_await write_to_caller(head, ex->held());
 }
 
 /// Passes an answer on piece by piece; what was collected before goes first.
 awaitable<void> request_run::deliver_rest(const exchange_ptr& ex) {
   const body_framing framing{!ex->answer_length(), ex->answer_length()};
   const bool is_reserved = reservation_.has_value();
-  co_await write_to_caller(caller_head(ex->answer(), framing, head_.request_id, must_close()), {});
+  const auto head = caller_head(ex->answer(), framing, head_.request_id, must_close());
+  co_await write_to_caller(head, {});
   std::string piece = ex->held();
   std::size_t size = piece.size();
   piece.resize(std::max(piece.size(), relay_piece_bytes));
@@ -118,16 +118,15 @@
   caller_->stream->expires_at(auth_.deadline);
   for (;;) {
     if (!caller_->is_gone && (size > 0 || state == body_state::done)) {
-      std::array<char, 24> line{};
-      const int line_size = std::snprintf(line.data(), line.size(), "%zx\r\n", size);
       const std::string_view data{piece.data(), size};
       const bool is_last = state == body_state::done;
       error_code ec;
       if (!framing.is_chunked) {
         ec = co_await caller_->stream->write(data);
       } else if (size > 0) {
-        ec = co_await caller_->stream->write({line.data(), static_cast<std::size_t>(line_size)},
-                                             data, is_last ? "\r\n0\r\n\r\n" : "\r\n");
+        const auto size_line = chunk_size_line(size);
+        const std::string_view end = is_last ? "\r\n0\r\n\r\n" : "\r\n";
+        ec = co_await caller_->stream->write(size_line, data, end);
       } else {
         ec = co_await caller_->stream->write("0\r\n\r\n");
       }
--- a/src/proxy/request_body.cpp
+++ b/src/proxy/request_body.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t relay_piece_bytes = 64 * 1024;
+constexpr std::size_t relay_piece_bytes = std::size_t{64} * 1024;
 
 } // namespace
 
--- a/src/proxy/request_run.cpp
+++ b/src/proxy/request_run.cpp
@@ -40,7 +40,8 @@
   if (!refused && head_.path.starts_with("/.kingcupshunt/")) {
     const bool is_answered = co_await answer_locally();
     if (!is_answered) {
-      co_await refuse(not_run(404, "not_found", "no such path on this instance"));
+      const auto unknown = not_run(404, "not_found", "no such path on this instance");
+      co_await refuse(unknown);
     }
     co_return;
   }
@@ -69,7 +70,8 @@
     co_await deliver(ex);
   } else {
     settle_reservation(nullptr);
-    co_await refuse(refusal_of_failure());
+    const auto failure = refusal_of_failure();
+    co_await refuse(failure);
   }
   co_return;
 }
@@ -164,8 +166,9 @@
     fields.set(http::field::cache_control, "max-age=" + std::to_string(answer->max_age->count()));
   }
   const body_framing framing{false, answer->body.size()};
-  co_await write_to_caller(caller_head(fields, framing, head_.request_id, must_close()),
-                           is_head_method_ ? std::string_view{} : answer->body);
+  const auto head = caller_head(fields, framing, head_.request_id, must_close());
+  const std::string_view body = is_head_method_ ? std::string_view{} : answer->body;
+  co_await write_to_caller(head, body);
   co_return true;
 }
 
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -6,6 +6,14 @@
 
 namespace kingcupshunt::proxy {
 
+namespace {
+
+refusal refused_head(unsigned status, const char* reason, const char* message) {
+  return refusal{status, reason, message, ran_state::no, std::nullopt};
+}
+
+} // namespace
+
 session::session(std::shared_ptr<entry_context> context, tcp::socket socket, std::string address)
     : context_(std::move(context)),
       caller_(std::make_shared<caller_side>(std::move(socket), std::move(address))) {}
@@ -58,45 +66,61 @@
 
 /// Reads, checks and parses a head. False after a refusal or when the connection ended.
 awaitable<bool> session::read_head() {
+  std::size_t size = 0;
+  auto refused = co_await read_head_bytes(size);
+  if (!refused && caller_->is_gone) {
+    co_return false;
+  }
+  if (!refused) {
+    refused = parse(size);
+  }
+  if (refused) {
+    co_await refuse(*refused);
+    co_return false;
+  }
+  co_return true;
+}
+
+/// Reads until a whole head is buffered and sets its size, or marks the caller as gone.
+awaitable<std::optional<refusal>> session::read_head_bytes(std::size_t& size) {
   auto& stream = *caller_->stream;
   const auto& settings = context_->settings;
   stream.expires_at(base::clock::now() + settings.head_timeout);
   std::size_t searched = 0;
-  std::size_t size = 0;
-  while ((size = find_head_end(stream.buffered(), searched)) == std::string_view::npos) {
+  for (;;) {
+    size = find_head_end(stream.buffered(), searched);
+    const bool has_end = size != std::string_view::npos;
     searched = stream.buffered().size();
-    if (searched > settings.max_head_bytes) {
-      break;
+    if ((has_end ? size : searched) > settings.max_head_bytes) {
+      co_return refused_head(431, "head_too_large", "the request's head is larger than allowed");
+    }
+    if (has_end) {
+      co_return std::nullopt;
     }
     const auto ec = co_await stream.read_some();
+    if (ec && stream.is_timed_out()) {
+      co_return refused_head(408, "head_timeout", "the request's head did not arrive in time");
+    }
     if (ec) {
-      if (stream.is_timed_out()) {
-        co_await refuse({408, "head_timeout", "the request's head did not arrive in time",
-                         ran_state::no, std::nullopt});
-      }
-      caller_->is_gone = !stream.is_open() || !caller_->is_closing;
-      co_return false;
+      caller_->is_gone = true;
+      co_return std::nullopt;
     }
   }
-  if (size == std::string_view::npos || size > settings.max_head_bytes) {
-    co_await refuse({431, "head_too_large", "the request's head is larger than allowed",
-                     ran_state::no, std::nullopt});
-    co_return false;
-  }
-  if (const char* problem =
-          check_raw_head(stream.buffered().substr(0, size), settings.max_header_fields)) {
-    const bool is_count = std::string_view(problem) == "too many header fields";
-    co_await refuse(is_count
-                        ? refusal{431, "too_many_headers", problem, ran_state::no, std::nullopt}
-                        : bad_request("bad_head", problem));
-    co_return false;
+}
+
+std::optional<refusal> session::parse(std::size_t size) {
+  auto& stream = *caller_->stream;
+  const auto head = stream.buffered().substr(0, size);
+  if (const char* problem = check_raw_head(head, context_->settings.max_header_fields)) {
+    const bool is_count = problem == std::string_view(too_many_fields);
+    return is_count ? refused_head(431, "too_many_headers", problem)
+                    : bad_request("bad_head", problem);
   }
   caller_->parser.emplace();
   if (const auto ec = parse_head(stream, *caller_->parser, size)) {
-    co_await refuse(bad_request("bad_head", "the head is not valid HTTP: " + ec.message()));
-    co_return false;
+    return bad_request("bad_head", "the head is not valid HTTP: " + ec.message());
   }
-  co_return true;
+  return std::nullopt;
 }
 
 awaitable<void> session::refuse(const refusal& r) {
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "caller_side.h"
@@ -24,6 +25,8 @@
 private:
   awaitable<bool> wait_for_request();
   awaitable<bool> read_head();
+  awaitable<std::optional<refusal>> read_head_bytes(std::size_t& size);
+  std::optional<refusal> parse(std::size_t size);
   awaitable<void> refuse(const refusal& r);
 
   std::shared_ptr<entry_context> context_;
--- a/src/proxy/timed_socket.cpp
+++ b/src/proxy/timed_socket.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::size_t largest_read = 64 * 1024;
+constexpr std::size_t largest_read = std::size_t{64} * 1024;
 
 error_code timed_out_error() {
   return asio::error::make_error_code(asio::error::timed_out);
