--- a/src/membership/detector_receive.cpp
+++ b/src/membership/detector_receive.cpp
@@ -195,6 +195,7 @@
   auto& r = records_[member];
   const auto former = r.state;
   const bool has_restarted = is_restart(r.incarnation, incarnation);
+  const bool is_news = r.incarnation != 0 || state != former;
   r.state = state;
   r.incarnation = incarnation;
   if (state == member_state::suspect) {
@@ -207,7 +208,11 @@
   if (former == member_state::failed && state == member_state::alive) {
     r.damper.add_return(settings_.flapping, now);
   }
-  queue_.add({view_.members[member].id, static_cast<std::uint8_t>(state), incarnation});
+  // Learning the first incarnation of a member that was taken to be alive is no news. Passing it
+  // on cost 1,000 members 1 KB/s each for minutes after the start.
+  if (is_news) {
+    queue_.add({view_.members[member].id, static_cast<std::uint8_t>(state), incarnation});
+  }
   refresh_visible(member, has_restarted, now);
 }
 
