--- /dev/null
+++ b/include/kingcupshunt/health/service_health.h
@@ -0,0 +1,175 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "kingcupshunt/base/rng.h"
+#include "kingcupshunt/base/time.h"
+#include "kingcupshunt/health/evidence.h"
+#include "kingcupshunt/health/evidence_pool.h"
+#include "kingcupshunt/health/fault_scope.h"
+#include "kingcupshunt/health/floor.h"
+#include "kingcupshunt/health/upstream.h"
+#include "kingcupshunt/observe/decision.h"
+
+namespace kingcupshunt::health {
+
+/// What an owner may do at present.
+enum class owner_phase : std::uint8_t {
+  collecting, ///< a former owner may still act: evidence only
+  renewing,   ///< ejections reported in force may be renewed or lifted
+  deciding    ///< may eject
+};
+
+struct service_settings {
+  base::duration lifetime = base::seconds(5); ///< of a verdict, renewed with each answer
+  base::duration first_hold = base::seconds(2);
+  base::duration longest_hold = base::seconds(60);
+  base::duration probation_time = base::seconds(10); ///< return at the latest without bad evidence
+  base::duration cold_start = base::seconds(15);     ///< latency of a new server says nothing
+  /// Score at which a server is ejected. exp(-17) per attempt is one in 2.4e7; at 5 attempts/s that
+  /// is below one false ejection in 1,000 server-hours.
+  double threshold = 17;
+  std::uint64_t seed = 1;
+};
+
+/// Failure detection and ejections of one service, on its owner.
+class service_health {
+public:
+  using decision_hook = std::function<void(observe::decision)>;
+
+  service_health(std::string service, service_settings settings, decision_hook on_decision);
+
+  void set_upstreams(const std::vector<upstream>& servers, base::time_point now);
+  void take(std::string_view from, const evidence_message& m, base::time_point now);
+
+  /// Decides. Returns true when verdicts or wanted probes changed and are worth sending at once.
+  bool evaluate(owner_phase phase, double floor, base::time_point now);
+
+  /// Verdicts for one instance; fills verdicts, probes and the fault finding.
+  void fill(verdicts_message& out, std::string_view instance, base::time_point now);
+
+  /// Drops all ejections and evidence: this instance stopped being the owner.
+  void reset(base::time_point now);
+
+  std::vector<withheld> withheld_servers() const;
+  /// Present score of a server, for tests and /explain.
+  double score(std::string_view id) const;
+
+private:
+  enum class standing : std::uint8_t { normal, ejected, probation };
+
+  struct window_counts {
+    double bad = 0;
+    double good = 0;
+    std::string data_centre;
+  };
+  struct open_evidence {
+    double score = 0;
+    double count = 0;
+    base::time_point received{};
+  };
+  struct server {
+    upstream up;
+    double error_score = 0;
+    double latency_score = 0;
+    double hard_share = 0; ///< decayed part of hard errors among bad attempts
+    double probe_hard = 0;
+    double probe_soft = 0;
+    base::time_point probed{};
+    base::time_point last_seen{}; ///< last attempt
+    bool is_last_bad = false;
+    std::map<std::string, window_counts, std::less<>> windows; ///< by instance
+    std::map<std::string, open_evidence, std::less<>> open;    ///< by instance
+    std::map<std::string, base::time_point, std::less<>> path_until;
+
+    standing state = standing::normal;
+    base::time_point since{};
+    base::time_point hold_until{};
+    base::duration hold{};
+    std::uint32_t flaps = 0;
+    double badness = 0;
+    std::string reason;
+    std::uint32_t good_probes = 0;
+    base::time_point next_probe{};
+    double return_score = 0; ///< error scores summed in probation
+    double probation_weight = 0;
+    bool is_refused = false;
+    bool is_checking = false;
+    base::time_point next_refusal_report{};
+  };
+  struct instance_state {
+    std::string data_centre;
+    base::time_point last_evidence{};
+    double attempts = 0;
+    base::time_point faulty_until{};
+    std::string fault;
+    std::set<std::string> wanted_probes;
+  };
+  struct reported_ejection {
+    server_verdict verdict;
+    base::time_point ends;
+  };
+
+  // Evidence.
+  void take_upstream(std::string_view from, instance_state& i, server& v,
+                     const upstream_evidence& u, base::time_point now);
+  void take_route(std::string_view from, server& v, const route_evidence& r, bool is_scored,
+                  bool is_pooled, window_counts& w, base::time_point now);
+  void take_probe(server& v, probe_outcome outcome, base::time_point now);
+  void take_held(const evidence_message& m, base::time_point now);
+  void age(base::time_point now);
+
+  // Scores.
+  double open_score(const server& v, base::time_point now) const;
+  double latency_total(const server& v, base::time_point now) const;
+  double request_score(const server& v, base::time_point now) const;
+  double total_score(const server& v, base::time_point now) const;
+  double bad_share(const server& v, base::time_point now) const;
+  bool is_cold(const server& v, base::time_point now) const;
+  bool is_excluded(std::string_view instance, const server& v, base::time_point now) const;
+  bool is_service_wide(const server& except, bool by_latency, base::time_point now) const;
+  double check_weight() const;
+  std::vector<instance_counts> counts_of(const server& v, base::time_point now) const;
+
+  // Decisions.
+  void find_faulty(base::time_point now);
+  bool adopt_reported(double floor, base::time_point now);
+  bool lift_below_floor(double floor, base::time_point now);
+  bool step_normal(server& v, std::vector<server*>& candidates, base::time_point now);
+  bool step_ejected(server& v, base::time_point now);
+  bool step_probation(server& v, std::vector<server*>& candidates, base::time_point now);
+  bool decide_candidate(server& v, double floor, base::time_point now);
+  bool find_path_fault(server& v, base::time_point now);
+  void eject(server& v, base::time_point now);
+  bool make_room(const server& v, double floor, base::time_point now);
+  void refuse(server& v, const capacity& c, double floor, base::time_point now);
+  void ask_probes(server& v, std::size_t n, base::time_point now);
+  void clear_scores(server& v);
+  void decide(std::string rule, std::string_view kind, std::string_view subject,
+              std::string outcome, std::string evidence) const;
+  std::string describe(const server& v, base::time_point now) const;
+  std::vector<upstream> known() const;
+
+  std::string service_;
+  service_settings settings_;
+  decision_hook on_decision_;
+  base::rng rng_;
+  evidence_pool pool_;
+  std::map<std::string, server, std::less<>> servers_;
+  std::map<std::string, instance_state, std::less<>> instances_;
+  std::map<std::string, reported_ejection, std::less<>> reported_;
+  base::time_point first_known_{};
+  base::time_point aged_{};
+  base::time_point pool_aged_{};
+  base::time_point next_faulty_check_{};
+  bool has_new_probes_ = false;
+  bool is_wide_reported_ = false;
+};
+
+} // namespace kingcupshunt::health
--- /dev/null
+++ b/src/health/service_evidence.cpp
@@ -0,0 +1,308 @@
+// Evidence of one service: intake, scores and what they mean.
+#include <algorithm>
+#include <cmath>
+
+#include "kingcupshunt/health/service_health.h"
+
+namespace kingcupshunt::health {
+
+namespace {
+
+// Scores above the threshold are cut so that a server that recovers is not held back by its past,
+// and so that servers cannot differ by much when the whole service is bad.
+constexpr double score_excess = 5;
+
+// Scores fade without new evidence.
+constexpr base::seconds score_half_life{30};
+
+// Windows by instance serve to tell scopes apart; they reach over some attempts of each instance.
+constexpr base::seconds window_half_life{5};
+
+// A latency score above this marks an attempt as bad in the windows: its tail probability is
+// below about 5 %.
+constexpr double bad_latency_score = 0.9;
+
+constexpr base::seconds open_lifetime{1};
+constexpr base::seconds probe_lifetime{3};
+constexpr double probe_score = 4;
+
+// Part of the threshold that probes may add. Three refused connections complete one failed
+// request; bad answers of the health path mislead more often and count less.
+constexpr double probe_hard_part = 0.7;
+constexpr double probe_soft_part = 0.3;
+
+constexpr double elevated_part = 1.0 / 3;
+
+// Above this part of the other servers the fault is the service's, not a server's.
+constexpr double wide_part = 0.45;
+
+constexpr base::seconds seen_recently{5};
+
+double cut(double score, double threshold) {
+  return std::clamp(score, 0.0, threshold + score_excess);
+}
+
+} // namespace
+
+void service_health::take(std::string_view from, const evidence_message& m, base::time_point now) {
+  auto& i = instances_[std::string(from)];
+  i.data_centre = m.data_centre;
+  i.last_evidence = now;
+  for (auto& [id, v] : servers_) {
+    v.open.erase(std::string(from));
+  }
+  for (const auto& u : m.upstreams) {
+    if (const auto it = servers_.find(u.upstream); it != servers_.end()) {
+      take_upstream(from, i, it->second, u, now);
+    }
+  }
+  for (const auto& p : m.probes) {
+    const auto it = servers_.find(p.upstream);
+    if (it != servers_.end() && p.outcome <= static_cast<std::uint8_t>(probe_outcome::failed) &&
+        i.faulty_until <= now) {
+      take_probe(it->second, static_cast<probe_outcome>(p.outcome), now);
+    }
+  }
+  take_held(m, now);
+}
+
+void service_health::take_held(const evidence_message& m, base::time_point now) {
+  for (const auto& h : m.held) {
+    const auto ends =
+        now + std::min<base::duration>(base::milliseconds(h.lifetime_ms), settings_.lifetime);
+    auto& known = reported_[h.upstream];
+    if (ends > known.ends) {
+      known = {h, ends};
+    }
+  }
+}
+
+void service_health::take_upstream(std::string_view from, instance_state& i, server& v,
+                                   const upstream_evidence& u, base::time_point now) {
+  const bool is_scored = v.state != standing::ejected && !is_excluded(from, v, now);
+  // Attempts of a suspected server would make its fault look usual; when the whole service is
+  // slow or failing, that is what is usual now.
+  const bool is_suspect = request_score(v, now) > settings_.threshold / 4;
+  const bool is_pooled =
+      is_scored && !is_cold(v, now) &&
+      (!is_suspect || is_service_wide(v, true, now) || is_service_wide(v, false, now));
+  auto& w = v.windows[std::string(from)];
+  w.data_centre = i.data_centre;
+  const double before = w.bad + w.good;
+  for (const auto& r : u.routes) {
+    take_route(from, v, r, is_scored, is_pooled, w, now);
+  }
+  i.attempts += w.bad + w.good - before;
+}
+
+void service_health::take_route(std::string_view from, server& v, const route_evidence& r,
+                                bool is_scored, bool is_pooled, window_counts& w,
+                                base::time_point now) {
+  const auto n = std::min(r.first_byte.size(), r.total.size());
+  const auto& id = v.up.info.id;
+  const auto good = pool_.good_score(r.route, id);
+  const auto soft = pool_.soft_error_score(r.route, id);
+  const auto hard = pool_.hard_error_score(r.route, id);
+  const bool has_latency = !is_cold(v, now);
+  double error_sum = v.error_score;
+  double latency_sum = v.latency_score;
+  for (std::size_t k = 0; k < n; ++k) {
+    const auto latency = pool_.latency_score(r.route, id, r.first_byte[k], r.total[k]);
+    const bool is_bad = has_latency && latency > bad_latency_score;
+    (is_bad ? w.bad : w.good) += 1;
+    v.is_last_bad = is_bad;
+    error_sum = cut(error_sum + good, settings_.threshold);
+    latency_sum = has_latency ? cut(latency_sum + latency, settings_.threshold) : latency_sum;
+  }
+  const double errors = std::min(50U, r.soft_errors) * soft + std::min(50U, r.hard_errors) * hard;
+  error_sum = cut(error_sum + errors, settings_.threshold);
+  for (const auto age : r.censored) {
+    latency_sum += has_latency ? pool_.open_score(r.route, id, age) : 0;
+  }
+  w.bad += r.soft_errors + r.hard_errors;
+  v.is_last_bad = v.is_last_bad || r.soft_errors + r.hard_errors > 0;
+  if (n > 0 || r.soft_errors + r.hard_errors > 0) {
+    v.last_seen = now;
+  }
+  if (is_scored) {
+    v.error_score = error_sum;
+    v.latency_score = cut(latency_sum, settings_.threshold);
+    v.return_score += errors + static_cast<double>(n) * good;
+    v.hard_share = r.hard_errors > 0 ? 1 : v.hard_share;
+  }
+  for (const auto age : r.open) {
+    const auto score = has_latency ? pool_.open_score(r.route, id, age) : 0;
+    auto& o = v.open[std::string(from)];
+    o.received = now;
+    o.score += score;
+    o.count += score > bad_latency_score ? 1 : 0;
+  }
+  if (is_pooled) {
+    for (std::size_t k = 0; k < n; ++k) {
+      pool_.add_good(r.route, id, r.first_byte[k], r.total[k]);
+    }
+    pool_.add_errors(r.route, id, r.soft_errors, r.hard_errors);
+  }
+}
+
+void service_health::take_probe(server& v, probe_outcome outcome, base::time_point now) {
+  if (now - v.probed > probe_lifetime) {
+    v.probe_hard = 0;
+    v.probe_soft = 0;
+  }
+  v.probed = now;
+  switch (outcome) {
+  case probe_outcome::ok:
+    ++v.good_probes;
+    v.probe_hard = std::max(0.0, v.probe_hard - probe_score);
+    v.probe_soft = std::max(0.0, v.probe_soft - probe_score);
+    return;
+  case probe_outcome::bad_status:
+    v.probe_soft += probe_score;
+    v.good_probes = 0;
+    return;
+  case probe_outcome::failed:
+    v.probe_hard += probe_score;
+    v.good_probes = 0;
+    return;
+  }
+}
+
+void service_health::age(base::time_point now) {
+  const auto elapsed = base::to_seconds(now - aged_);
+  if (elapsed <= 0) {
+    return;
+  }
+  aged_ = now;
+  const auto score_factor = std::exp2(-elapsed / base::to_seconds(score_half_life));
+  const auto window_factor = std::exp2(-elapsed / base::to_seconds(window_half_life));
+  for (auto& [id, v] : servers_) {
+    v.error_score *= score_factor;
+    v.latency_score *= score_factor;
+    for (auto& [instance, w] : v.windows) {
+      w.bad *= window_factor;
+      w.good *= window_factor;
+    }
+    std::erase_if(v.windows,
+                  [](const auto& item) { return item.second.bad + item.second.good < 0.02; });
+    std::erase_if(v.path_until, [&](const auto& item) { return item.second <= now; });
+  }
+  for (auto& [id, i] : instances_) {
+    i.attempts *= window_factor;
+  }
+  if (now - pool_aged_ >= base::seconds(1)) {
+    pool_.decay(std::min<base::duration>(now - pool_aged_, base::seconds(300)));
+    pool_aged_ = now;
+  }
+}
+
+double service_health::open_score(const server& v, base::time_point now) const {
+  double sum = 0;
+  for (const auto& [instance, o] : v.open) {
+    if (now - o.received < open_lifetime && !is_excluded(instance, v, now)) {
+      sum += o.score;
+    }
+  }
+  return sum;
+}
+
+double service_health::latency_total(const server& v, base::time_point now) const {
+  return cut(v.latency_score + open_score(v, now), settings_.threshold);
+}
+
+double service_health::request_score(const server& v, base::time_point now) const {
+  return std::max(v.error_score, latency_total(v, now));
+}
+
+double service_health::total_score(const server& v, base::time_point now) const {
+  const double requests = request_score(v, now);
+  if (requests < settings_.threshold * elevated_part || now - v.probed > probe_lifetime) {
+    return requests;
+  }
+  return requests + std::min(v.probe_hard, settings_.threshold * probe_hard_part) +
+         std::min(v.probe_soft, settings_.threshold * probe_soft_part);
+}
+
+double service_health::bad_share(const server& v, base::time_point now) const {
+  double bad = 0;
+  double good = 0;
+  for (const auto& c : counts_of(v, now)) {
+    bad += c.bad;
+    good += c.good;
+  }
+  return bad + good <= 0 ? 0 : bad / (bad + good);
+}
+
+// A server that joins a running service warms up; its latency says nothing for a while.
+bool service_health::is_cold(const server& v, base::time_point now) const {
+  return v.up.first_seen > first_known_ + settings_.cold_start &&
+         now - v.up.first_seen < settings_.cold_start;
+}
+
+bool service_health::is_excluded(std::string_view instance, const server& v,
+                                 base::time_point now) const {
+  const auto i = instances_.find(instance);
+  if (i != instances_.end() && i->second.faulty_until > now) {
+    return true;
+  }
+  const auto path = v.path_until.find(instance);
+  return path != v.path_until.end() && path->second > now;
+}
+
+// Counts the other servers that are bad by their score or their last attempt. The last attempts
+// react first when the whole service turns bad; the scores remain when only some requests fail.
+bool service_health::is_service_wide(const server& except, bool by_latency,
+                                     base::time_point now) const {
+  double seen = 0;
+  double elevated = 0;
+  double last_bad = 0;
+  for (const auto& [id, v] : servers_) {
+    const bool is_seen = now - v.last_seen < seen_recently || !v.open.empty();
+    if (&v == &except || v.state == standing::ejected || !is_seen) {
+      continue;
+    }
+    const double score = by_latency ? latency_total(v, now) : v.error_score;
+    seen += 1;
+    elevated += score > settings_.threshold * elevated_part ? 1 : 0;
+    last_bad += v.is_last_bad || open_score(v, now) > bad_latency_score ? 1 : 0;
+  }
+  return seen > 0 && std::max(elevated, last_bad) > wide_part * seen;
+}
+
+// Sends a suspected server three times its share of repeatable requests. The test needs a certain
+// number of attempts whatever their rate, so the same number of requests meets a bad server and
+// the decision comes sooner. Not while the servers are busy, where it would add load.
+double service_health::check_weight() const {
+  const auto n = static_cast<double>(std::max<std::size_t>(1, servers_.size()));
+  const auto window = base::to_seconds(evidence_pool::half_life) / std::log(2.0);
+  const double rate = pool_.weight() / window / n;
+  double slots = 0;
+  for (const auto& [id, v] : servers_) {
+    slots += v.up.info.slots;
+  }
+  const double busy = rate * base::to_seconds(pool_.median_total()) / std::max(1.0, slots / n);
+  return busy < 0.25 && rate < 20 ? 3 : 1;
+}
+
+std::vector<instance_counts> service_health::counts_of(const server& v,
+                                                       base::time_point now) const {
+  std::vector<instance_counts> out;
+  for (const auto& [instance, w] : v.windows) {
+    out.push_back({instance, w.data_centre, w.bad, w.good});
+  }
+  for (const auto& [instance, o] : v.open) {
+    if (o.count <= 0 || now - o.received >= open_lifetime) {
+      continue;
+    }
+    const auto it = std::ranges::find(out, instance, &instance_counts::instance);
+    if (it != out.end()) {
+      it->bad += o.count;
+    } else {
+      const auto i = instances_.find(instance);
+      out.push_back({instance, i == instances_.end() ? "" : i->second.data_centre, o.count, 0});
+    }
+  }
+  return out;
+}
+
+} // namespace kingcupshunt::health
--- /dev/null
+++ b/src/health/service_health.cpp
@@ -0,0 +1,517 @@
+// Decisions of one service's owner: ejection, floor, return.
+#include "kingcupshunt/health/service_health.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace kingcupshunt::health {
+
+namespace {
+
+// Suspicion starts probes; it needs about one hard error or two slow attempts.
+constexpr double suspicion_part = 1.0 / 3;
+
+// A server that was ejected lately is more likely bad than any other, so half the evidence does.
+constexpr double probation_part = 0.5;
+
+constexpr double first_probation_weight = 0.25;
+
+// Error score of nine answers without error: 4 % of the servers that fail 30 % get that far.
+constexpr double return_score = -2.5;
+
+constexpr std::uint32_t probes_to_return = 3;
+constexpr std::size_t probing_instances = 5;
+constexpr base::milliseconds probe_interval{250};
+constexpr base::milliseconds return_probe_interval{500};
+
+// After this time a server returns by requests alone: its health path may be wrong for ever.
+constexpr base::seconds probe_patience{30};
+
+// A server that stayed normal for this long loses one step of its hold time.
+constexpr base::seconds flap_memory{60};
+constexpr std::uint32_t greatest_flaps = 5;
+
+constexpr base::seconds path_hold{10};
+constexpr base::seconds faulty_hold{10};
+constexpr base::seconds refusal_report_interval{10};
+constexpr base::milliseconds faulty_check_interval{200};
+
+constexpr double refused_weight = 0.1;
+constexpr double path_weight = 0.1;
+
+// A worse server replaces an ejected one at the floor only when it is clearly worse; otherwise two
+// servers that are about as bad would take turns.
+constexpr double replace_margin = 0.3;
+
+// An instance with more than this part of the service's traffic needs no second witness.
+constexpr double sole_witness_part = 0.9;
+
+std::string number(double x) {
+  char buf[32];
+  std::snprintf(buf, sizeof buf, "%.2f", x);
+  return buf;
+}
+
+} // namespace
+
+service_health::service_health(std::string service, service_settings settings,
+                               decision_hook on_decision)
+    : service_(std::move(service)), settings_(settings), on_decision_(std::move(on_decision)),
+      rng_(settings.seed) {}
+
+void service_health::set_upstreams(const std::vector<upstream>& servers, base::time_point now) {
+  if (servers_.empty()) {
+    first_known_ = now;
+    aged_ = now;
+    pool_aged_ = now;
+  }
+  std::erase_if(servers_, [&](const auto& item) {
+    return std::ranges::none_of(servers, [&](const auto& up) { return up.info.id == item.first; });
+  });
+  for (const auto& up : servers) {
+    auto& v = servers_[up.info.id];
+    const bool is_restarted =
+        v.up.info.incarnation != 0 && v.up.info.incarnation != up.info.incarnation;
+    v.up = up;
+    if (is_restarted) {
+      clear_scores(v);
+      v.windows.clear();
+      pool_.forget(up.info.id);
+      // A restart may have ended the fault: probes decide at once instead of the hold time.
+      v.hold_until = std::min(v.hold_until, now);
+    }
+  }
+}
+
+void service_health::clear_scores(server& v) {
+  v.error_score = 0;
+  v.latency_score = 0;
+  v.probe_hard = 0;
+  v.probe_soft = 0;
+  v.hard_share = 0;
+  v.is_last_bad = false;
+  v.is_checking = false;
+  v.open.clear();
+}
+
+void service_health::reset(base::time_point now) {
+  for (auto& [id, v] : servers_) {
+    const auto up = v.up;
+    v = server{};
+    v.up = up;
+  }
+  instances_.clear();
+  reported_.clear();
+  pool_ = evidence_pool{};
+  aged_ = now;
+  pool_aged_ = now;
+}
+
+bool service_health::evaluate(owner_phase phase, double floor, base::time_point now) {
+  age(now);
+  find_faulty(now);
+  if (phase == owner_phase::collecting) {
+    return false;
+  }
+  bool is_changed = adopt_reported(floor, now);
+  is_changed = lift_below_floor(floor, now) || is_changed;
+  std::vector<server*> candidates;
+  for (auto& [id, v] : servers_) {
+    switch (v.state) {
+    case standing::normal:
+      is_changed = step_normal(v, candidates, now) || is_changed;
+      break;
+    case standing::ejected:
+      is_changed = step_ejected(v, now) || is_changed;
+      break;
+    case standing::probation:
+      is_changed = step_probation(v, candidates, now) || is_changed;
+      break;
+    }
+  }
+  if (phase == owner_phase::deciding) {
+    std::ranges::sort(candidates, [&](const server* a, const server* b) {
+      const auto x = total_score(*a, now);
+      const auto y = total_score(*b, now);
+      return x != y ? x > y : a->up.info.id < b->up.info.id;
+    });
+    for (auto* v : candidates) {
+      is_changed = decide_candidate(*v, floor, now) || is_changed;
+    }
+  }
+  return std::exchange(has_new_probes_, false) || is_changed;
+}
+
+// Ejections granted by a former owner go on, so that a bad server does not return for the time
+// that a new owner waits.
+bool service_health::adopt_reported(double floor, base::time_point now) {
+  std::erase_if(reported_, [&](const auto& item) { return item.second.ends <= now; });
+  bool is_changed = false;
+  for (const auto& [id, r] : reported_) {
+    const auto it = servers_.find(id);
+    if (it == servers_.end() || it->second.state != standing::normal ||
+        it->second.since != base::time_point{}) {
+      continue;
+    }
+    auto& v = it->second;
+    auto proposed = withheld_servers();
+    proposed.push_back({id, r.verdict.badness});
+    if (!count_capacity(known(), proposed).is_above(floor)) {
+      continue;
+    }
+    v.state = r.verdict.state == static_cast<std::uint8_t>(server_state::probation)
+                  ? standing::probation
+                  : standing::ejected;
+    v.since = now;
+    v.badness = r.verdict.badness;
+    v.flaps = std::min(r.verdict.flaps, greatest_flaps);
+    v.hold =
+        std::min<base::duration>(base::milliseconds(r.verdict.hold_ms), settings_.longest_hold);
+    v.hold_until = now + v.hold;
+    v.probation_weight = first_probation_weight;
+    v.reason = r.verdict.reason;
+    decide("ejection.take_over", "upstream", id, "ejected", "reason=" + v.reason);
+    is_changed = true;
+  }
+  return is_changed;
+}
+
+bool service_health::lift_below_floor(double floor, base::time_point now) {
+  const auto kept = fit_to_floor(known(), withheld_servers(), floor);
+  bool is_changed = false;
+  for (auto& [id, v] : servers_) {
+    if (v.state == standing::normal ||
+        std::ranges::any_of(kept, [&, &key = id](const auto& w) { return w.id == key; })) {
+      continue;
+    }
+    decide("ejection.floor_lift", "upstream", id, "returned", describe(v, now));
+    v.state = standing::normal;
+    v.since = now;
+    v.is_refused = true;
+    is_changed = true;
+  }
+  return is_changed;
+}
+
+bool service_health::step_normal(server& v, std::vector<server*>& candidates,
+                                 base::time_point now) {
+  const double score = total_score(v, now);
+  if (v.flaps > 0 && now - v.since > flap_memory) {
+    --v.flaps;
+    v.since = now;
+  }
+  const bool is_suspect = score >= settings_.threshold * suspicion_part;
+  const bool is_changed = v.is_checking != is_suspect;
+  v.is_checking = is_suspect;
+  v.is_refused = v.is_refused && is_suspect;
+  if (is_suspect && now >= v.next_probe) {
+    v.next_probe = now + probe_interval;
+    ask_probes(v, probing_instances, now);
+  }
+  if (score >= settings_.threshold) {
+    candidates.push_back(&v);
+  }
+  return is_changed;
+}
+
+bool service_health::step_ejected(server& v, base::time_point now) {
+  if (now < v.hold_until) {
+    return false;
+  }
+  const bool is_patience_over = now - v.hold_until >= probe_patience;
+  if (v.good_probes < probes_to_return && !is_patience_over) {
+    if (now >= v.next_probe) {
+      v.next_probe = now + return_probe_interval;
+      ask_probes(v, probes_to_return, now);
+    }
+    return false;
+  }
+  v.state = standing::probation;
+  v.since = now;
+  v.return_score = 0;
+  v.probation_weight = first_probation_weight;
+  clear_scores(v);
+  decide("ejection.probation", "upstream", v.up.info.id, "probation",
+         "good_probes=" + std::to_string(v.good_probes));
+  return true;
+}
+
+bool service_health::step_probation(server& v, std::vector<server*>& candidates,
+                                    base::time_point now) {
+  const double score = total_score(v, now);
+  if (score >= settings_.threshold * probation_part) {
+    candidates.push_back(&v);
+    return false;
+  }
+  const bool is_proved = v.return_score <= return_score && score < 1;
+  const bool is_over =
+      now - v.since >= settings_.probation_time && score < settings_.threshold * suspicion_part;
+  if (is_proved || is_over) {
+    decide("ejection.return", "upstream", v.up.info.id, "returned",
+           "error_score=" + number(v.return_score) +
+               " probation_ms=" + std::to_string(base::to_ms(now - v.since)));
+    v.state = standing::normal;
+    v.since = now;
+    clear_scores(v);
+    return true;
+  }
+  // The share grows with the answers without error.
+  const double weight = v.return_score <= return_score * 2 / 3 ? 1.0
+                        : v.return_score <= return_score / 3   ? 0.5
+                                                               : first_probation_weight;
+  return std::exchange(v.probation_weight, weight) != weight;
+}
+
+bool service_health::decide_candidate(server& v, double floor, base::time_point now) {
+  const bool by_latency = latency_total(v, now) >= v.error_score;
+  if (servers_.size() < 2 || is_service_wide(v, by_latency, now)) {
+    if (!std::exchange(is_wide_reported_, true)) {
+      decide(by_latency ? "service.slow_everywhere" : "service.failing_everywhere", "service",
+             service_, "no_ejection", describe(v, now));
+    }
+    return false;
+  }
+  is_wide_reported_ = false;
+  if (find_path_fault(v, now)) {
+    return true;
+  }
+  if (v.state == standing::normal) {
+    v.badness = bad_share(v, now) + v.hard_share;
+    if (!make_room(v, floor, now)) {
+      return false;
+    }
+  }
+  eject(v, now);
+  return true;
+}
+
+// True when the fault belongs to the way from some instances. They rank the server last, and their
+// attempts at it stop counting for a while.
+bool service_health::find_path_fault(server& v, base::time_point now) {
+  std::vector<instance_counts> counts;
+  double attempts = 0;
+  double most = 0;
+  for (const auto& [id, i] : instances_) {
+    attempts += i.attempts;
+    most = std::max(most, i.attempts);
+  }
+  std::size_t witnesses = 0;
+  for (auto& c : counts_of(v, now)) {
+    if (!is_excluded(c.instance, v, now)) {
+      witnesses += c.bad > 0.3 ? 1 : 0;
+      counts.push_back(std::move(c));
+    }
+  }
+  auto finding = find_scope(counts, 0);
+  const bool is_probed_bad = now - v.probed < base::seconds(3) && v.probe_hard >= 8;
+  if (is_probed_bad && witnesses < 2) {
+    return false;
+  }
+  if (finding.scope == fault_scope::server && witnesses < 2 && instances_.size() > 1 &&
+      most < sole_witness_part * attempts) {
+    finding.scope = fault_scope::instances;
+    for (const auto& c : counts) {
+      if (c.bad > 0.3) {
+        finding.instances.push_back(c.instance);
+      }
+    }
+  }
+  if (finding.scope == fault_scope::server) {
+    return false;
+  }
+  std::string names;
+  for (const auto& instance : finding.instances) {
+    v.path_until[instance] = now + path_hold;
+    names += (names.empty() ? "" : ",") + instance;
+  }
+  decide("path_fault", "upstream", v.up.info.id, to_string(finding.scope),
+         "instances=" + names + " margin=" + number(finding.margin) + " " + describe(v, now));
+  clear_scores(v);
+  return true;
+}
+
+// Checks the floor for one more ejection; lifts clearly less bad ones when that makes room.
+bool service_health::make_room(const server& v, double floor, base::time_point now) {
+  const auto servers = known();
+  auto proposed = withheld_servers();
+  proposed.push_back({v.up.info.id, v.badness});
+  auto& candidate = servers_.find(v.up.info.id)->second;
+  if (count_capacity(servers, proposed).is_above(floor)) {
+    return true;
+  }
+  const auto kept = fit_to_floor(servers, proposed, floor);
+  const auto is_kept = [&](const std::string& id) {
+    return std::ranges::any_of(kept, [&](const auto& w) { return w.id == id; });
+  };
+  std::vector<server*> lifted;
+  bool is_worth = is_kept(v.up.info.id);
+  for (auto& [id, other] : servers_) {
+    if (other.state != standing::normal && !is_kept(id)) {
+      lifted.push_back(&other);
+      is_worth = is_worth && other.badness + replace_margin <= v.badness;
+    }
+  }
+  if (!is_worth) {
+    refuse(candidate, count_capacity(servers, withheld_servers()), floor, now);
+    return false;
+  }
+  for (auto* other : lifted) {
+    decide("ejection.replaced", "upstream", other->up.info.id, "returned",
+           "worse=" + v.up.info.id + " " + describe(*other, now));
+    other->state = standing::normal;
+    other->since = now;
+    other->is_refused = true;
+  }
+  return true;
+}
+
+void service_health::refuse(server& v, const capacity& c, double floor, base::time_point now) {
+  v.is_refused = true;
+  if (now < v.next_refusal_report) {
+    return;
+  }
+  v.next_refusal_report = now + refusal_report_interval;
+  decide("ejection.floor", "upstream", v.up.info.id, "refused",
+         "healthy_slots=" + std::to_string(c.healthy) + " announced_slots=" +
+             std::to_string(c.announced) + " floor=" + number(floor) + " " + describe(v, now));
+}
+
+void service_health::eject(server& v, base::time_point now) {
+  const bool by_latency = latency_total(v, now) >= v.error_score;
+  const bool is_hard = !by_latency && v.hard_share > 0;
+  v.reason = by_latency ? "latency" : is_hard ? "hard_failure" : "error_rate";
+  if (v.state == standing::probation || v.flaps > 0) {
+    v.flaps = std::min(v.flaps + 1, greatest_flaps);
+  }
+  const auto hold = settings_.first_hold * (1U << v.flaps);
+  v.hold = std::min<base::duration>(hold, settings_.longest_hold);
+  decide("ejection." + v.reason, "upstream", v.up.info.id, "ejected",
+         describe(v, now) + " hold_ms=" + std::to_string(base::to_ms(v.hold)));
+  if (v.flaps == 0) {
+    v.flaps = 1;
+  }
+  v.state = standing::ejected;
+  v.since = now;
+  v.hold_until = now + v.hold;
+  v.good_probes = 0;
+  v.is_refused = false;
+  clear_scores(v);
+}
+
+void service_health::find_faulty(base::time_point now) {
+  if (now < next_faulty_check_) {
+    return;
+  }
+  next_faulty_check_ = now + faulty_check_interval;
+  std::vector<server_counts> counts;
+  for (const auto& [id, v] : servers_) {
+    counts.push_back({id, v.up.info.data_centre, counts_of(v, now)});
+  }
+  for (const auto& f : find_faulty_instances(counts)) {
+    auto& i = instances_[f.instance];
+    i.fault = "bad_share=" + number(f.bad_share) + " bad_servers=" + std::to_string(f.bad_servers) +
+              " score=" + number(f.score);
+    if (i.faulty_until <= now) {
+      decide("instance.faulty", "instance", f.instance, "evidence_set_aside",
+             "service=" + service_ + " " + i.fault);
+    }
+    i.faulty_until = now + faulty_hold;
+  }
+  for (auto& [id, i] : instances_) {
+    if (i.faulty_until <= now && !i.fault.empty()) {
+      decide("instance.faulty", "instance", id, "evidence_counts_again", "service=" + service_);
+      i.fault.clear();
+    }
+  }
+  std::erase_if(instances_, [&](const auto& item) {
+    return now - item.second.last_evidence > base::seconds(60);
+  });
+}
+
+void service_health::ask_probes(server& v, std::size_t n, base::time_point now) {
+  std::vector<instance_state*> able;
+  for (auto& [id, i] : instances_) {
+    if (now - i.last_evidence < base::seconds(1) && !is_excluded(id, v, now)) {
+      able.push_back(&i);
+    }
+  }
+  for (std::size_t k = 0; k < std::min(n, able.size()); ++k) {
+    std::swap(able[k], able[k + rng_.below(able.size() - k)]);
+    able[k]->wanted_probes.insert(v.up.info.id);
+    has_new_probes_ = true;
+  }
+}
+
+void service_health::fill(verdicts_message& out, std::string_view instance, base::time_point now) {
+  const auto lifetime = static_cast<std::uint32_t>(base::to_ms(settings_.lifetime));
+  const double checking = check_weight();
+  for (const auto& [id, v] : servers_) {
+    server_verdict verdict{id,      0,        v.badness,
+                           0,       lifetime, static_cast<std::uint32_t>(base::to_ms(v.hold)),
+                           v.flaps, v.reason};
+    const auto path = v.path_until.find(instance);
+    if (v.state == standing::ejected) {
+      verdict.state = static_cast<std::uint8_t>(server_state::ejected);
+    } else if (v.state == standing::probation) {
+      verdict.state = static_cast<std::uint8_t>(server_state::probation);
+      verdict.weight = v.probation_weight;
+    } else if (path != v.path_until.end() && path->second > now) {
+      verdict.state = static_cast<std::uint8_t>(server_state::path_fault);
+      verdict.weight = path_weight;
+    } else if (v.is_refused || v.is_checking) {
+      verdict.state = static_cast<std::uint8_t>(server_state::suspected);
+      verdict.weight = v.is_refused ? refused_weight : checking;
+    } else {
+      continue;
+    }
+    out.verdicts.push_back(std::move(verdict));
+  }
+  if (const auto it = instances_.find(instance); it != instances_.end()) {
+    out.probes.assign(it->second.wanted_probes.begin(), it->second.wanted_probes.end());
+    it->second.wanted_probes.clear();
+    out.is_faulty_instance = it->second.faulty_until > now;
+    out.fault_evidence = it->second.fault;
+  }
+}
+
+std::vector<withheld> service_health::withheld_servers() const {
+  std::vector<withheld> out;
+  for (const auto& [id, v] : servers_) {
+    if (v.state != standing::normal) {
+      out.push_back({id, v.badness});
+    }
+  }
+  return out;
+}
+
+std::vector<upstream> service_health::known() const {
+  std::vector<upstream> out;
+  for (const auto& [id, v] : servers_) {
+    out.push_back(v.up);
+  }
+  return out;
+}
+
+double service_health::score(std::string_view id) const {
+  const auto it = servers_.find(id);
+  return it == servers_.end() ? 0 : total_score(it->second, aged_);
+}
+
+std::string service_health::describe(const server& v, base::time_point now) const {
+  return "service=" + service_ + " error_score=" + number(v.error_score) +
+         " latency_score=" + number(latency_total(v, now)) +
+         " probe_score=" + number(v.probe_hard + v.probe_soft) +
+         " bad_share=" + number(bad_share(v, now)) +
+         " instances=" + std::to_string(v.windows.size()) + " flaps=" + std::to_string(v.flaps);
+}
+
+void service_health::decide(std::string rule, std::string_view kind, std::string_view subject,
+                            std::string outcome, std::string evidence) const {
+  if (on_decision_) {
+    on_decision_({std::move(rule), std::string(kind), std::string(subject), std::move(outcome),
+                  std::move(evidence), 0});
+  }
+}
+
+} // namespace kingcupshunt::health
