--- a/include/kingcupshunt/admission/crash_suspects.h
+++ b/include/kingcupshunt/admission/crash_suspects.h
@@ -109,7 +109,8 @@
   };
   struct server_state {
     std::vector<std::uint64_t> in_flight;
-    std::vector<cut> cuts; ///< without a verdict
+    std::vector<cut> cuts;                   ///< without a verdict
+    std::optional<base::time_point> died_at; ///< last call of server_died
     /// Given up by this instance, but the server may still run them; until when they are blamed.
     std::deque<std::pair<std::uint64_t, base::time_point>> given_up;
   };
--- a/src/admission/crash_suspects.cpp
+++ b/src/admission/crash_suspects.cpp
@@ -131,7 +131,14 @@
     if (is_isolated) {
       i->second.step = isolation_step::ending;
     }
-    s->second.cuts.push_back({fingerprint, now, is_isolated, std::move(done)});
+    cut c{fingerprint, now, is_isolated, std::move(done)};
+    if (s->second.died_at && now - *s->second.died_at < blame_time) {
+      // The verdict came first. The server may have started and died again since.
+      s->second.given_up.emplace_back(fingerprint, now + blame_time);
+      hold(c, now);
+    } else {
+      s->second.cuts.push_back(std::move(c));
+    }
     return;
   }
   if (end == attempt_end::timed_out || end == attempt_end::cancelled) {
@@ -185,6 +192,7 @@
     spread(std::move(m), now);
   }
   if (s != servers_.end()) {
+    s->second.died_at = now;
     for (auto& c : std::exchange(s->second.cuts, {})) {
       hold(c, now);
     }
@@ -217,6 +225,7 @@
       finish_isolation(c.fingerprint, now);
     }
   }
+  s->second.died_at.reset();
   forget_server(server);
   run_completions();
 }
--- /dev/null
+++ b/tests/admission/crash_suspects_test.cpp
@@ -0,0 +1,121 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "crash_fleet.h"
+
+using namespace kingcupshunt;
+using base::milliseconds;
+using support::crash_fleet;
+
+namespace {
+
+const base::time_point start = base::time_point{} + base::seconds(100);
+
+void check_random_run(std::uint64_t seed, bool has_kill) {
+  base::rng rng(seed);
+  support::crash_options o;
+  o.seed = seed;
+  o.instances = 2 + rng.below(7);
+  o.servers = 4 + rng.below(12);
+  o.poison_callers = 1 + static_cast<int>(rng.below(3));
+  crash_fleet fleet(o);
+  fleet.run(base::seconds(20)); // coordinators wait for the permits of a process before them
+  const int innocents = 30;
+  for (int i = 0; i < innocents; ++i) {
+    const auto after = milliseconds(rng.below(4000));
+    const auto run_time = milliseconds(1 + rng.below(rng.below(4) == 0 ? 1500 : 100));
+    fleet.at(after, [&fleet, i, run_time] { fleet.call(1000 + i, run_time, 200); });
+  }
+  fleet.at(milliseconds(rng.below(2000)), [&fleet] { fleet.call(crash_fleet::poison, {}, 8); });
+  if (has_kill) {
+    const auto victim = rng.below(o.instances);
+    fleet.at(milliseconds(rng.below(6000)), [&fleet, victim] { fleet.kill(victim); });
+  }
+  fleet.run(base::seconds(60));
+  INFO("seed " << seed << " instances " << o.instances << " servers " << o.servers);
+  CHECK(fleet.servers_lost <= 2);
+  CHECK(fleet.servers_lost >= 1);
+  CHECK(fleet.poison_overlaps == 0);
+  CHECK(fleet.innocent_refused == 0);
+  if (!has_kill) {
+    CHECK(fleet.innocent_done == innocents);
+  }
+  RC_ASSERT(fleet.servers_lost <= 2);
+}
+
+} // namespace
+
+// Guards against a request that takes one server after the other down.
+TEST_CASE("at most two servers are lost to one request and innocent requests are served") {
+  CHECK(rc::check([] { check_random_run(*rc::gen::arbitrary<std::uint32_t>(), false); }));
+}
+
+// Guards against two permits of one fingerprint after its coordinator is lost.
+TEST_CASE("the bound holds when an instance is lost meanwhile") {
+  CHECK(rc::check([] { check_random_run(*rc::gen::arbitrary<std::uint32_t>(), true); }));
+}
+
+// Guards against a table that depends on the order of messages.
+TEST_CASE("records merge in any order and a clear covers what it names") {
+  admission::suspect_table a;
+  admission::suspect_table b;
+  const admission::suspect_record crash{7, {1}, {}};
+  const admission::suspect_record clear{7, {1}, {1}};
+  const admission::suspect_record second{7, {2}, {}};
+  a.merge(crash, start);
+  a.merge(clear, start);
+  a.merge(second, start);
+  b.merge(second, start);
+  b.merge(clear, start);
+  b.merge(crash, start);
+  CHECK(a.crashes(7) == 1);
+  CHECK(b.crashes(7) == 1);
+  a.merge({7, {3}, {}}, start);
+  CHECK(a.is_refused(7));
+  CHECK(*a.refused_until(7) == start + base::seconds(600));
+  a.expire(start + base::seconds(600));
+  CHECK(a.crashes(7) == 0);
+}
+
+// Guards against memory that a mass failure or a hostile caller fills.
+TEST_CASE("the table is bounded and keeps refused fingerprints") {
+  admission::suspect_limits limits;
+  limits.max_suspects = 50;
+  admission::suspect_table table(limits);
+  table.merge({1, {1, 2}, {}}, start);
+  for (std::uint64_t f = 2; f < 500; ++f) {
+    table.merge({f, {1}, {}}, start + milliseconds(f));
+  }
+  CHECK(table.size() == 50);
+  CHECK(table.is_refused(1));
+}
+
+// Guards against an answer to the caller before all instances know of the crash, and against
+// holding answers when the server is alive.
+TEST_CASE("a cut request is held until its server is known to be alive or the crash has spread") {
+  int sent = 0;
+  admission::crash_suspects_settings settings;
+  settings.self = "i0";
+  admission::crash_suspects core(settings, {[&](auto, auto, auto) { ++sent; }, {}, {}, {}, {}});
+  core.set_view({1, {{"i0", "", "", "", true}, {"i1", "", "", "", true}}}, start);
+  int answered = 0;
+  const auto done = [&] { ++answered; };
+  CHECK(core.begin(5, "s1", start));
+  core.end(5, "s1", health::attempt_end::closed_unanswered, start, done);
+  CHECK(answered == 0);
+  core.server_alive("s1", start + milliseconds(2));
+  CHECK(answered == 1);
+  CHECK(core.table().size() == 0);
+
+  CHECK(core.begin(5, "s1", start));
+  sent = 0;
+  core.server_died("s1", 77, start + milliseconds(1));
+  CHECK(sent == 1);
+  core.end(5, "s1", health::attempt_end::closed_unanswered, start + milliseconds(2), done);
+  core.tick(start + milliseconds(150));
+  CHECK(answered == 1);
+  core.tick(start + milliseconds(200));
+  CHECK(answered == 2);
+  CHECK(core.table().crashes(5) == 1);
+  CHECK(!core.begin(5, "s2", start + milliseconds(300)));
+}
