--- a/include/kingcupshunt/rates/bucket.h
+++ b/include/kingcupshunt/rates/bucket.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "kingcupshunt/base/time.h"
 #include "kingcupshunt/rates/limit.h"
@@ -30,7 +30,7 @@
   std::uint64_t last_seq = 0;
   std::uint64_t spent = 0;
   std::uint32_t outstanding = 0; ///< sum of lots
-  std::deque<lot> lots;          ///< by expiry
+  std::vector<lot> lots;         ///< by expiry
   std::optional<queued_ask> queued;
   base::time_point last_seen{};
   base::time_point last_recall{};
--- a/include/kingcupshunt/rates/client.h
+++ b/include/kingcupshunt/rates/client.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -96,9 +95,9 @@
   };
   struct entry {
     std::string owner;
-    std::deque<lot> lots;        ///< of the owner in force, by expiry
-    std::deque<lot> former_lots; ///< of a former owner or term; spent first, never reported
-    std::uint32_t held = 0;      ///< sum of lots
+    std::vector<lot> lots;        ///< of the owner in force, by expiry
+    std::vector<lot> former_lots; ///< of a former owner or term; spent first, never reported
+    std::uint32_t held = 0;       ///< sum of lots
     std::uint64_t spent = 0;
     std::vector<base::time_point> spends; ///< newest unreported
     bool has_unreported = false;
@@ -109,8 +108,9 @@
     base::time_point next_token{};
     std::optional<refusal_reason> trouble; ///< why the last ask got nothing
     std::uint32_t timeouts = 0;
-    bool is_tight = false;
-    std::deque<waiter> waiters;
+    bool is_tight = false;  ///< report each spend at once
+    bool is_plenty = false; ///< reports of spends alone are not needed
+    std::vector<waiter> waiters;
     base::time_point last_used{};
     base::time_point last_report{};
     base::time_point last_decision{};
@@ -129,7 +129,6 @@
   std::optional<rate_refusal> refuse_now(const entry& e, base::time_point now) const;
   rate_refusal make_refusal(const entry& e, base::time_point now) const;
   void serve_waiters(entry& e, base::time_point now);
-  void refuse_front(const std::string& workspace, entry& e, base::time_point now);
   void drop_all_waiters(const std::string& workspace, entry& e, base::time_point now);
   void note_refusal(const std::string& workspace, entry& e, const rate_refusal& r,
                     base::time_point now);
--- a/include/kingcupshunt/rates/messages.h
+++ b/include/kingcupshunt/rates/messages.h
@@ -51,10 +51,11 @@
   std::uint8_t status = 0;    ///< a grant_status
   std::uint32_t retry_ms = 0; ///< expected time until the next free token
   bool is_tight = false;      ///< few tokens are left: report each spend at once
+  bool is_plenty = false;     ///< many are left: a report of spends alone is not needed
 
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("w", workspace), MSGPACK_NVP("q", seq), MSGPACK_NVP("n", tokens),
                      MSGPACK_NVP("s", status), MSGPACK_NVP("r", retry_ms),
-                     MSGPACK_NVP("t", is_tight))
+                     MSGPACK_NVP("t", is_tight), MSGPACK_NVP("m", is_plenty))
 };
 
 /// Frame from an owner to an instance (message_kind::rate_grant).
--- a/src/rates/bucket.cpp
+++ b/src/rates/bucket.cpp
@@ -103,7 +103,7 @@
     a.lots.front().tokens -= part;
     n -= part;
     if (a.lots.front().tokens == 0) {
-      a.lots.pop_front();
+      a.lots.erase(a.lots.begin());
     }
   }
 }
@@ -157,7 +157,7 @@
       // Whether these tokens were spent is unknown, so they do not return to the bucket.
       a.outstanding -= a.lots.front().tokens;
       outstanding_ -= a.lots.front().tokens;
-      a.lots.pop_front();
+      a.lots.erase(a.lots.begin());
     }
     if (a.queued && a.queued->until <= now) {
       a.queued.reset();
--- a/src/rates/client.cpp
+++ b/src/rates/client.cpp
@@ -63,7 +63,7 @@
 void client::expire_lots(entry& e, base::time_point now) {
   while (!e.lots.empty() && e.lots.front().expires <= now) {
     e.held -= e.lots.front().tokens;
-    e.lots.pop_front();
+    e.lots.erase(e.lots.begin());
     e.has_unreported = true;
   }
   std::erase_if(e.former_lots, [&](const lot& l) { return l.expires <= now; });
@@ -73,7 +73,7 @@
   expire_lots(e, now);
   if (!e.former_lots.empty()) {
     if (--e.former_lots.front().tokens == 0) {
-      e.former_lots.pop_front();
+      e.former_lots.erase(e.former_lots.begin());
     }
     return true;
   }
@@ -81,7 +81,7 @@
     return false;
   }
   if (--e.lots.front().tokens == 0) {
-    e.lots.pop_front();
+    e.lots.erase(e.lots.begin());
   }
   --e.held;
   ++e.spent;
@@ -194,16 +194,17 @@
     e.lots.front().tokens -= part;
     n -= part;
     if (e.lots.front().tokens == 0) {
-      e.lots.pop_front();
+      e.lots.erase(e.lots.begin());
     }
   }
 }
 
 void client::serve_waiters(entry& e, base::time_point now) {
-  while (!e.waiters.empty() && spend(e, now)) {
-    completions_.emplace_back(std::move(e.waiters.front().done), base::success());
-    e.waiters.pop_front();
+  std::size_t served = 0;
+  while (served < e.waiters.size() && spend(e, now)) {
+    completions_.emplace_back(std::move(e.waiters[served++].done), base::success());
   }
+  e.waiters.erase(e.waiters.begin(), e.waiters.begin() + static_cast<std::ptrdiff_t>(served));
 }
 
 void client::tick(base::time_point now) {
@@ -239,8 +240,15 @@
   }
   return_idle(e, now);
   consider_ask(workspace, e, now);
-  if (!e.pending && e.has_unreported && !e.owner.empty() &&
-      (e.is_tight || now - e.last_report >= report_interval)) {
+  if (e.pending || !e.has_unreported || e.owner.empty()) {
+    return;
+  }
+  if (e.is_plenty && e.held == 0) {
+    // The owner has many tokens left and takes unreported ones for spent when they expire.
+    if (now - e.last_report >= token_lifetime) {
+      e.has_unreported = false;
+    }
+  } else if (e.is_tight || now - e.last_report >= report_interval) {
     put_item(workspace, e, 0, 0, now);
   }
 }
--- a/src/rates/client_exchange.cpp
+++ b/src/rates/client_exchange.cpp
@@ -27,7 +27,7 @@
   }
   std::erase_if(frame.items, [&](const ask_item& i) { return i.workspace == workspace; });
   ask_item item{workspace, urgent, wish, e.held, e.spent, {}};
-  if (e.is_tight) {
+  if (!e.is_plenty) {
     for (const auto at : e.spends) {
       const auto age = std::chrono::duration_cast<base::microseconds>(now - at).count();
       item.ages_us.push_back(static_cast<std::uint32_t>(
@@ -52,6 +52,7 @@
   e.timeouts = 0;
   e.trouble.reset();
   e.is_tight = item.is_tight;
+  e.is_plenty = item.is_plenty;
   e.next_token = now + base::milliseconds(item.retry_ms);
   if (status == grant_status::queued) {
     e.pending->is_queued = true;
@@ -91,6 +92,7 @@
 void client::handle_recall(const std::string& workspace, entry& e, base::time_point now) {
   expire_lots(e, now);
   e.is_tight = true;
+  e.is_plenty = false;
   e.ask_after = std::max(e.ask_after, now + prefetch_pause);
   if (e.pending || (e.held == 0 && !e.has_unreported)) {
     return;
--- a/src/rates/client_refusal.cpp
+++ b/src/rates/client_refusal.cpp
@@ -95,16 +95,11 @@
 }
 
 void client::drop_all_waiters(const std::string& workspace, entry& e, base::time_point now) {
-  while (!e.waiters.empty()) {
-    refuse_front(workspace, e, now);
-  }
-}
-
-void client::refuse_front(const std::string& workspace, entry& e, base::time_point now) {
   const auto refusal = make_refusal(e, now);
-  completions_.emplace_back(std::move(e.waiters.front().done), refusal);
-  e.waiters.pop_front();
-  note_refusal(workspace, e, refusal, now);
+  for (auto& w : std::exchange(e.waiters, {})) {
+    completions_.emplace_back(std::move(w.done), refusal);
+    note_refusal(workspace, e, refusal, now);
+  }
 }
 
 } // namespace kingcupshunt::rates
--- a/src/rates/owner.cpp
+++ b/src/rates/owner.cpp
@@ -32,6 +32,14 @@
   return b.level() < 1.0 + l.burst * tight_share || l.burst < l.rate * tight_burst_seconds;
 }
 
+// Unreported tokens count as outstanding for the lifetime, which shortens the usable burst by what
+// was spent in that time. A burst of several lifetimes of the rate does not miss it.
+bool is_plenty(const bucket& b) {
+  const auto& l = b.limits();
+  const double per_lifetime = l.rate * base::to_seconds(token_lifetime);
+  return l.burst >= 2 * per_lifetime && b.level() >= l.burst / 2;
+}
+
 // Seconds until `tokens` are free.
 double seconds_until(const bucket& b, double tokens) {
   if (b.limits().rate <= 0) {
@@ -140,7 +148,8 @@
   const auto reply = [&](grant_status status, std::uint32_t retry_ms) {
     if (item.urgent > 0 || item.wish > 0) {
       answer(from, frame.incarnation,
-             {item.workspace, frame.seq, 0, static_cast<std::uint8_t>(status), retry_ms, false});
+             {item.workspace, frame.seq, 0, static_cast<std::uint8_t>(status), retry_ms, false,
+              false});
     }
   };
   if (views_.empty() || (hooks_.is_fresh && !hooks_.is_fresh())) {
@@ -231,7 +240,8 @@
     const auto status = is_final ? grant_status::granted : grant_status::queued;
     const auto retry = tokens < queued.urgent ? to_retry_ms(seconds_until(b, ahead)) : 0;
     answer(it->first.first, it->first.second,
-           {workspace, queued.seq, tokens, static_cast<std::uint8_t>(status), retry, is_tight(b)});
+           {workspace, queued.seq, tokens, static_cast<std::uint8_t>(status), retry, is_tight(b),
+            is_plenty(b)});
   }
   b.last_served = now;
   if (is_short) {
@@ -246,7 +256,7 @@
     }
     a.last_recall = now;
     answer(key.first, key.second,
-           {workspace, 0, 0, static_cast<std::uint8_t>(grant_status::recall), 0, true});
+           {workspace, 0, 0, static_cast<std::uint8_t>(grant_status::recall), 0, true, false});
   }
 }
 
--- a/tests/rates/accounting_test.cpp
+++ b/tests/rates/accounting_test.cpp
@@ -48,7 +48,7 @@
   void answer(std::uint64_t seq, std::uint32_t tokens, rates::grant_status status,
               base::time_point now, std::uint32_t retry_ms = 0) {
     const rates::grant frame{
-        1, 9, {{"w", seq, tokens, static_cast<std::uint8_t>(status), retry_ms, false}}};
+        1, 9, {{"w", seq, tokens, static_cast<std::uint8_t>(status), retry_ms, false, false}}};
     client.receive("o", peer::message_kind::rate_grant, peer::pack(frame), now);
   }
 };
@@ -169,10 +169,10 @@
   client_run run;
   run.acquire(start);
   run.client.receive("o", peer::message_kind::rate_grant, "\x93junk", start);
-  const rates::grant foreign{2, 9, {{"w", run.asks[0].seq, 1, 0, 0, false}}};
+  const rates::grant foreign{2, 9, {{"w", run.asks[0].seq, 1, 0, 0, false, false}}};
   run.client.receive("o", peer::message_kind::rate_grant, peer::pack(foreign), start);
-  run.client.receive("x", peer::message_kind::rate_grant,
-                     peer::pack(rates::grant{1, 9, {{"w", run.asks[0].seq, 1, 0, 0, false}}}),
-                     start);
+  run.client.receive(
+      "x", peer::message_kind::rate_grant,
+      peer::pack(rates::grant{1, 9, {{"w", run.asks[0].seq, 1, 0, 0, false, false}}}), start);
   CHECK(run.granted == 0);
 }
