--- a/include/kingcupshunt/state/follower.h
+++ b/include/kingcupshunt/state/follower.h
@@ -72,8 +72,10 @@
   void take(delta d, const std::string& root);
   bool put_in_force(const delta& d);
   void take_early();
-  void take_image(const image& i);
+  bool take_image(const image& i);
   void fetch(base::time_point now);
+  void ask(const std::string& peer, base::time_point now);
+  bool can_serve_image(const fetch_message& m) const noexcept;
   std::string next_source();
 
   follower_settings settings_;
--- a/include/kingcupshunt/state/messages.h
+++ b/include/kingcupshunt/state/messages.h
@@ -48,10 +48,11 @@
 struct fetch_message {
   std::uint64_t call_id = 0;
   std::uint64_t revision = 0;
+  bool is_image = false; ///< deltas do not apply at the requester
   std::uint64_t image_revision = 0;
   std::uint64_t offset = 0; ///< bytes
 
-  MSGPACK_DEFINE_MAP(call_id, revision, image_revision, offset)
+  MSGPACK_DEFINE_MAP(call_id, revision, is_image, image_revision, offset)
 };
 
 /// state_delta: deltas in order, pushed along the tree or as the answer to a fetch; or a chunk of
--- a/include/kingcupshunt/storage/log_store.h
+++ b/include/kingcupshunt/storage/log_store.h
@@ -20,10 +20,11 @@
 
 /// Log segments, term and vote, and snapshots in one folder.
 ///
-/// Files: `owner` (format, fleet, instance, store id), `lock`, `log-<first index>` segments and
-/// `snapshot-<index>`. Each record is a 4-byte little-endian length, an 8-byte XXH3 over length and
-/// payload, and the payload. All calls but save_snapshot come from one thread at a time;
-/// save_snapshot may run beside write.
+/// Files: `owner` (format, fleet, instance, store id), `lock`, `log-<number>` segments and
+/// `snapshot-<index>`, which consist of records (see record.h). A batch is one record, and the next
+/// one is written only after it is durable, so at most the last record of the last segment can be
+/// torn. All calls but save_snapshot come from one thread at a time; save_snapshot may run beside
+/// write.
 class log_store {
 public:
   /// Opens or creates the folder and reads it. A torn last record is cut off; damage before the
@@ -51,7 +52,7 @@
 private:
   struct segment {
     std::string name;
-    std::uint64_t first = 0; ///< index of its first entry when it was started
+    std::uint64_t last = 0; ///< greatest index of its entries
     std::uint64_t bytes = 0;
   };
 
@@ -64,12 +65,11 @@
   result<void> read_snapshots(const std::vector<std::string>& names);
   result<void> read_segments(const std::vector<std::string>& names);
   result<void> read_segment(const std::string& name, bool is_last);
-  result<void> apply_record(std::string_view payload, const std::string& name,
-                            std::uint64_t offset);
-  result<void> finish_recovery();
-  result<void> start_segment(std::uint64_t first);
-  result<void> write_durable(const std::string& name, const std::string& content);
-  result<void> fail(error e);
+  result<void> replay(std::string_view payload, segment& in, std::uint64_t offset);
+  result<void> check_continuity();
+  result<void> start_segment();
+  result<void> write_whole(const std::string& name, const std::string& content);
+  result<void> append(const std::string& record);
 
   log_store_settings settings_;
   std::shared_ptr<file_system> files_;
@@ -77,11 +77,11 @@
   std::string store_id_;
   consensus::recovered_state recovered_;
   std::uint64_t torn_bytes_ = 0;
-  std::vector<segment> segments_;
+  std::vector<segment> segments_; ///< in order; the last one is written to
   std::unique_ptr<file> tail_;
-  consensus::hard_state state_;
-  std::uint64_t last_index_ = 0;
+  consensus::hard_state state_; ///< as last written
   std::uint64_t next_segment_ = 1;
+  bool needs_reset_ = false; ///< a snapshot was taken over, but the log was not reset yet
   bool has_failed_ = false;
 };
 
--- a/include/kingcupshunt/storage/sync_thread.h
+++ b/include/kingcupshunt/storage/sync_thread.h
@@ -41,7 +41,8 @@
   class worker;
 
   std::unique_ptr<log_store> store_;
-  sync_thread_hooks hooks_;
+  /// Shared with posted functions, which may run after this object is gone.
+  std::shared_ptr<const sync_thread_hooks> hooks_;
   std::unique_ptr<worker> writer_;
   std::unique_ptr<worker> snapshots_;
 };
