Test answers, retries, reservations, stops and malformed requests

Each rule of the entry gets a test. They found two faults: a caller that left within an answer did not cancel the upstream's work, and an answer too long to be stored was stored empty.

--- a/src/proxy/caller_side.cpp
+++ b/src/proxy/caller_side.cpp
@@ -27,8 +27,7 @@
     early += n;
     caller->has_leftover = caller->has_leftover || n > 0;
     if (ec || early > max_early_bytes) {
-      caller->is_gone = true;
-      caller->wake->notify();
+      caller->mark_gone();
       break;
     }
   }
@@ -38,6 +37,17 @@
 
 } // namespace
 
+void caller_side::mark_gone() {
+  is_gone = true;
+  is_closing = true;
+  if (wake) {
+    wake->notify();
+  }
+  if (on_gone) {
+    on_gone();
+  }
+}
+
 void start_watch(const std::shared_ptr<caller_side>& caller) {
   caller->must_stop_watching = false;
   caller->is_watching = true;
--- a/src/proxy/caller_side.h
+++ b/src/proxy/caller_side.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,7 +19,11 @@
   std::shared_ptr<timed_socket> stream;
   std::string address; ///< IP address of the caller
   std::optional<request_parser> parser;
-  std::shared_ptr<event> wake; ///< notified when the caller goes away
+  std::shared_ptr<event> wake;   ///< notified when the caller goes away
+  std::function<void()> on_gone; ///< called as well, when set
+
+  /// Notes that the caller is gone and tells those who wait.
+  void mark_gone();
 
   bool is_gone = false;      ///< closed by the caller, or cut
   bool is_cut = false;       ///< closed by a stop; no work goes on for it
--- a/src/proxy/request_answer.cpp
+++ b/src/proxy/request_answer.cpp
@@ -109,6 +109,11 @@
 awaitable<void> request_run::deliver_rest(const exchange_ptr& ex) {
   const body_framing framing{!ex->answer_length(), ex->answer_length()};
   const bool is_reserved = reservation_.has_value();
+  caller_->on_gone = [this, ex, is_reserved] {
+    if (!is_reserved || caller_->is_cut) {
+      ex->cancel();
+    }
+  };
   const auto head = caller_head(ex->answer(), framing, head_.request_id, must_close());
   co_await write_to_caller(head, {});
   std::string piece = ex->held();
@@ -141,6 +146,7 @@
     size = got.size;
     state = got.state;
   }
+  caller_->on_gone = nullptr;
   if (state != body_state::done) {
     // Closing inside the body tells the caller that the answer is not whole.
     caller_->is_gone = true;
@@ -150,7 +156,8 @@
     }
   }
   caller_->is_closing = caller_->is_closing || caller_->is_gone;
-  settle_reservation(ex.get());
+  // A body that went by in pieces is not kept, so that the key stays "may have run".
+  settle_reservation(ex->end() == attempt_end::shed ? ex.get() : nullptr);
   report(*ex);
 }
 
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -42,12 +42,8 @@
 
 void session::cut() {
   caller_->is_cut = true;
-  caller_->is_gone = true;
-  caller_->is_closing = true;
   caller_->stream->close();
-  if (caller_->wake) {
-    caller_->wake->notify();
-  }
+  caller_->mark_gone();
 }
 
 /// Waits for the first byte of a request. False when the connection is to be closed.
--- a/tests/proxy/harness.h
+++ b/tests/proxy/harness.h
@@ -12,6 +12,7 @@
 #include <thread>
 #include <vector>
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -130,6 +131,7 @@
   hook_log seen;
   observe::metrics metrics;
   boost::asio::io_context io;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{io.get_executor()};
   std::unique_ptr<entry_server> server;
   std::thread thread;
 };
--- /dev/null
+++ b/tests/proxy/reservations_test.cpp
@@ -0,0 +1,222 @@
+#include "harness.h"
+
+#include <doctest/doctest.h>
+
+using namespace kingcupshunt;
+using namespace kingcupshunt::proxy;
+using namespace kingcupshunt::proxy::testing;
+
+namespace {
+
+std::string order(const std::string& body = "lens", const std::string& key = "order-1") {
+  return "POST /a HTTP/1.1\r\nHost: shop\r\n" + authorization() +
+         (key.empty() ? std::string() : "Idempotency-Key: " + key + "\r\n") +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+struct orders : fixture {
+  explicit orders(std::vector<std::string> ups) : fixture(std::move(ups)) {
+    route.is_repeatable = false;
+  }
+  wire_answer ask(const std::string& request = order()) {
+    wire c(port());
+    c.send(request);
+    return c.read_answer();
+  }
+};
+
+} // namespace
+
+TEST_CASE("an order runs once and its answer is stored") {
+  backend b(always(ok_answer("order 17")));
+  orders f({b.id()});
+  f.start();
+  CHECK(f.ask().body == "order 17");
+  CHECK(f.log().reserved == 1);
+  CHECK(f.log().completed == std::vector<std::string>{"order 17"});
+  CHECK(f.log().released == 0);
+  CHECK(b.received().find("Idempotency-Key: order-1\r\n") != std::string::npos);
+}
+
+TEST_CASE("a chunked answer of an order is stored as well") {
+  backend b(always("HTTP/1.1 201 Created\r\nTransfer-Encoding: chunked\r\n\r\n5\r\norder\r\n"
+                   "0\r\n\r\n"));
+  orders f({b.id()});
+  f.start();
+  CHECK(f.ask().body == "order");
+  CHECK(f.log().completed == std::vector<std::string>{"order"});
+}
+
+TEST_CASE("an answer too long to be stored is passed on and completed without it") {
+  const std::string big(100'000, 'x');
+  backend b(always(ok_answer(big)));
+  orders f({b.id()});
+  f.start();
+  CHECK(f.ask().body == big);
+  REQUIRE(eventually([&] { return f.log().completed.size() == 1; }));
+  CHECK(f.log().completed[0] == "-");
+}
+
+TEST_CASE("an order without key, or too large to be told apart, is refused before it runs") {
+  backend b(always(ok_answer()));
+  orders f({b.id()});
+  f.start();
+  auto a = f.ask(order("lens", ""));
+  CHECK(a.status == 428);
+  CHECK(a.field("x-kingcupshunt-reason") == "idempotency_key_required");
+  a = f.ask(order(std::string(65'537, 'x')));
+  CHECK(a.status == 413);
+  CHECK(a.field("x-kingcupshunt-reason") == "non_repeatable_body_too_large");
+  a = f.ask("POST /a HTTP/1.1\r\nHost: shop\r\nIdempotency-Key: k\r\nTransfer-Encoding: "
+            "chunked\r\n\r\n10001\r\n" +
+            std::string(65'537, 'x') + "\r\n0\r\n\r\n");
+  CHECK(a.field("x-kingcupshunt-reason") == "non_repeatable_body_too_large");
+  CHECK(b.requests() == 0);
+  CHECK(f.log().reserved == 0);
+}
+
+TEST_CASE("a resend gets the stored answer") {
+  backend b(always(ok_answer()));
+  orders f({b.id()});
+  f.decisions.reserve = [](const auto&, const auto&, auto, const auto& done) {
+    done(reservation{0, stored_answer{201, "text/plain", "order 17"}});
+  };
+  f.start();
+  const auto a = f.ask();
+  CHECK(a.status == 201);
+  CHECK(a.body == "order 17");
+  CHECK(a.field("x-kingcupshunt-replayed") == "1");
+  CHECK(b.requests() == 0);
+  CHECK(f.log().released == 0);
+}
+
+TEST_CASE("the fingerprint tells different orders under one key apart") {
+  std::vector<std::uint64_t> prints;
+  backend b(always(ok_answer()));
+  orders f({b.id()});
+  f.decisions.reserve = [&](const auto&, const auto&, auto print, const auto& done) {
+    prints.push_back(print);
+    done(refusal{409, "key_reused", "", ran_state::no, std::nullopt});
+  };
+  f.start();
+  f.ask(order("lens"));
+  f.ask(order("lens"));
+  f.ask(order("two lenses"));
+  REQUIRE(prints.size() == 3);
+  CHECK(prints[0] == prints[1]);
+  CHECK(prints[0] != prints[2]);
+  CHECK(prints[0] != 0);
+}
+
+TEST_CASE("no byte of an order goes out before its key is reserved, nor after it was given up") {
+  backend b(always(ok_answer()));
+  orders f({b.id()});
+  std::function<void(decided<reservation>)> grant;
+  std::atomic<bool> is_asked{false};
+  f.decisions.reserve = [&](const auto&, const auto&, auto, auto done) {
+    grant = done;
+    is_asked = true;
+  };
+  f.service.timeout = base::milliseconds(150);
+  f.start();
+  SUBCASE("the deadline passes before the grant") {
+    const auto a = f.ask();
+    CHECK(a.status == 504);
+    CHECK(a.field("x-kingcupshunt-ran") == "no");
+  }
+  SUBCASE("the caller leaves before the grant") {
+    wire c(f.port());
+    c.send(order());
+    CHECK(eventually([&] { return is_asked.load(); }));
+    c.close();
+    CHECK(eventually([&] { return f.log().finished == 1; }));
+  }
+  CHECK(b.connections() == 0);
+  CHECK(f.log().released == 0);
+  f.on_loop([&] { grant(reservation{7, std::nullopt}); });
+  CHECK(f.log().released == 1);
+  CHECK(f.get().status == 428);
+  CHECK(b.connections() == 0);
+}
+
+TEST_CASE("an order that was sent is never sent again, and its outcome stays open") {
+  backend first([](backend& self, wire& c, int) { self.read_request(c); });
+  backend second(always(ok_answer()));
+  orders f({first.id(), second.id()});
+  f.start();
+  const auto a = f.ask();
+  CHECK(a.status == 502);
+  CHECK(a.field("x-kingcupshunt-ran") == "unknown");
+  CHECK(second.requests() == 0);
+  CHECK(f.log().completed == std::vector<std::string>{"-"});
+  CHECK(f.log().released == 0);
+}
+
+TEST_CASE("an order of which nothing was sent goes to another server") {
+  std::string dead;
+  {
+    backend gone(always(""));
+    dead = gone.id();
+  }
+  backend good(always(ok_answer("order 17")));
+  orders f({dead, good.id()});
+  f.start();
+  CHECK(f.ask().body == "order 17");
+  CHECK(f.log().reserved == 1);
+  f.on_loop([&] { f.upstreams = {dead}; });
+  const auto a = f.ask();
+  CHECK(a.field("x-kingcupshunt-ran") == "no");
+  CHECK(f.log().released == 1);
+}
+
+TEST_CASE("an order that the server refused as not run releases its key") {
+  backend b(always("HTTP/1.1 503 Busy\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"));
+  backend other(always(ok_answer()));
+  orders f({b.id(), other.id()});
+  f.start();
+  CHECK(f.ask().status == 503);
+  CHECK(f.log().released == 1);
+  CHECK(f.log().completed.empty());
+  CHECK(other.requests() == 0);
+}
+
+TEST_CASE("a server error of an order is its answer: it may have run") {
+  backend b(always("HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\noops"));
+  orders f({b.id()});
+  f.start();
+  CHECK(f.ask().status == 500);
+  CHECK(f.log().completed == std::vector<std::string>{"oops"});
+  CHECK(f.log().released == 0);
+}
+
+TEST_CASE("an order that was sent is finished and stored although its caller left") {
+  std::atomic<bool> may_answer{false};
+  backend b([&](backend& self, wire& c, int) {
+    if (self.read_request(c)) {
+      may_answer.wait(false);
+      c.send(ok_answer("order 17"));
+    }
+  });
+  orders f({b.id()});
+  f.start();
+  wire c(f.port());
+  c.send(order());
+  CHECK(eventually([&] { return b.requests() == 1; }));
+  c.close();
+  // The loop has seen the end of the connection when a later request has been served.
+  CHECK(f.get().status == 428);
+  may_answer = true;
+  may_answer.notify_all();
+  REQUIRE(eventually([&] { return f.log().completed.size() == 1; }));
+  CHECK(f.log().completed[0] == "order 17");
+}
+
+TEST_CASE("an order does not go out on a connection that was idle for longer than the trust") {
+  backend b(always(ok_answer()));
+  orders f({b.id()});
+  f.settings.verified_for = base::milliseconds(0);
+  f.start();
+  CHECK(f.ask().status == 200);
+  CHECK(f.ask().status == 200);
+  CHECK(b.connections() == 2);
+}
