Wire the cores into one instance and serve requests end to end

Cause: the parts had been built side by side and no process ran them. Owners of rates wait about 3 s after a start, so the tests wait until a request is served.

--- a/include/kingcupshunt/config/snapshot.h
+++ b/include/kingcupshunt/config/snapshot.h
@@ -72,4 +72,8 @@
 /// Merges, parses and validates a folder. Errors carry the file that stated the value.
 result<snapshot> parse(const files& all);
 
+/// The merged document of a snapshot with every member written out. Applying it to an empty
+/// snapshot gives an equal one.
+nlohmann::json to_document(const snapshot& s);
+
 } // namespace kingcupshunt::config
--- a/include/kingcupshunt/control/http_client.h
+++ b/include/kingcupshunt/control/http_client.h
@@ -14,8 +14,9 @@
 };
 
 /// Sends one request to "ip:port" and waits for the answer. Blocks; for command line programs.
+/// `headers` are sent besides Host and Content-Type. The answer's headers have lower-case names.
 base::result<http_response, http_client_error>
 call(const std::string& endpoint, const std::string& method, const std::string& target,
-     const std::string& body, base::milliseconds timeout);
+     const std::string& body, base::milliseconds timeout, const http_headers& headers = {});
 
 } // namespace kingcupshunt::control
--- a/include/kingcupshunt/control/http_message.h
+++ b/include/kingcupshunt/control/http_message.h
@@ -6,12 +6,15 @@
 
 namespace kingcupshunt::control {
 
+/// Header names to values.
+using http_headers = std::map<std::string, std::string>;
+
 /// A small request, read whole.
 struct http_request {
   std::string method;
-  std::string path;                           ///< without query, decoded
-  std::map<std::string, std::string> query;   ///< decoded
-  std::map<std::string, std::string> headers; ///< names in lower case
+  std::string path;                         ///< without query, decoded
+  std::map<std::string, std::string> query; ///< decoded
+  http_headers headers;                     ///< names in lower case
   std::string body;
   std::string caller_address;
 
@@ -24,6 +27,7 @@
   unsigned status = 200;
   std::string content_type = "application/json";
   std::string body;
+  http_headers headers{}; ///< besides Content-Type and the framing
 };
 
 /// Answers a request by calling `done` once, at once or later, on the same event loop.
--- a/include/kingcupshunt/proxy/request_head.h
+++ b/include/kingcupshunt/proxy/request_head.h
@@ -28,6 +28,8 @@
   std::shared_ptr<const config::route> route;
   std::shared_ptr<const config::workspace> workspace; ///< null on a route open to all
   base::time_point deadline;
+  /// Time at which `hooks::admit` gave the turn; shared by the copies of one request.
+  std::shared_ptr<base::time_point> turn_started{};
 };
 
 } // namespace kingcupshunt::proxy
--- a/include/kingcupshunt/settings/process_settings.h
+++ b/include/kingcupshunt/settings/process_settings.h
@@ -41,15 +41,16 @@
   std::string id;
   std::string fleet;
   std::string data_centre;
-  std::string fleet_secret;    ///< content of the file that fleet_secret_file names
-  std::string operator_secret; ///< empty: operators' calls need none
-  endpoint entry;              ///< callers
-  endpoint announce;           ///< backend servers
-  endpoint operators;          ///< operators; other than loopback needs an operator secret
-  endpoint peer;               ///< other instances
-  std::string data_folder;     ///< empty: this instance has no disk
-  std::string config_folder;   ///< empty: this instance watches no folder
-  std::vector<voter> voters;   ///< the same list on every instance
+  std::string fleet_secret;            ///< content of the file that fleet_secret_file names
+  std::string operator_secret;         ///< empty: operators' calls need none
+  endpoint entry;                      ///< callers
+  endpoint announce;                   ///< backend servers
+  endpoint operators;                  ///< operators; other than loopback needs an operator secret
+  endpoint peer;                       ///< other instances
+  std::string data_folder;             ///< empty: this instance has no disk
+  std::string config_folder;           ///< empty: this instance watches no folder
+  std::vector<voter> voters;           ///< the same list on every instance
+  base::milliseconds stop_lead{2'000}; ///< out of the address answers before closing anything
   base::milliseconds stop_grace{20'000}; ///< time for requests in flight at a graceful stop
   connection_limits limits;
 
--- a/src/cli/run.cpp
+++ b/src/cli/run.cpp
@@ -1,6 +1,8 @@
 #include <iostream>
 
 #include "command.h"
+#include "kingcupshunt/node/instance.h"
+#include "kingcupshunt/observe/event_log.h"
 #include "kingcupshunt/settings/process_settings.h"
 #include "options.h"
 
@@ -21,6 +23,13 @@
     std::cerr << settings::describe(settings.error()) << '\n';
     return exit_bad_input;
   }
+  observe::start_logging("kingcupshunt");
+  auto instance = node::instance::open(std::move(settings.value()));
+  if (!instance) {
+    std::cerr << instance.error() << '\n';
+    return exit_failed;
+  }
+  instance.value()->run();
   return exit_ok;
 }
 
--- a/src/cli/status.cpp
+++ b/src/cli/status.cpp
@@ -1,3 +1,4 @@
+#include <fstream>
 #include <iostream>
 
 #include <nlohmann/json.hpp>
@@ -16,8 +17,16 @@
 constexpr const char* default_operator = "127.0.0.1:8082";
 
 // Fetches a JSON page from an instance; prints why it can't and returns a discarded value.
-json fetch(const std::string& endpoint, const std::string& target, int& code) {
-  const auto answer = control::call(endpoint, "GET", target, "", call_timeout);
+json fetch(const cxxopts::ParseResult& options, const std::string& target, int& code) {
+  const auto endpoint = options["operator"].as<std::string>();
+  control::http_headers headers;
+  if (options.count("secret-file") > 0) {
+    std::ifstream in(options["secret-file"].as<std::string>());
+    std::string secret;
+    std::getline(in, secret);
+    headers["Authorization"] = "Bearer " + secret;
+  }
+  const auto answer = control::call(endpoint, "GET", target, "", call_timeout, headers);
   if (!answer) {
     std::cerr << endpoint << ": " << answer.error().message << '\n';
     code = exit_unreachable;
@@ -75,13 +84,14 @@
   cxxopts::Options options("kingcupshunt status", "Shows what an instance sees.\n");
   options.add_options()("operator", "Operator address of the instance",
                         cxxopts::value<std::string>()->default_value(default_operator))(
-      "json", "Print JSON");
+      "secret-file", "File with the operator secret", cxxopts::value<std::string>())("json",
+                                                                                     "Print JSON");
   int code = exit_ok;
   const auto parsed = parse_options(options, args, "", code);
   if (!parsed) {
     return code;
   }
-  const auto page = fetch((*parsed)["operator"].as<std::string>(), "/status", code);
+  const auto page = fetch(*parsed, "/status", code);
   if (page.is_discarded()) {
     return code;
   }
@@ -99,6 +109,7 @@
                            "service or instance, newest first.\n");
   options.add_options()("operator", "Operator address of the instance",
                         cxxopts::value<std::string>()->default_value(default_operator))(
+      "secret-file", "File with the operator secret", cxxopts::value<std::string>())(
       "json", "Print JSON")("limit", "Greatest number of decisions",
                             cxxopts::value<unsigned>()->default_value("20"))(
       "subject", "Id of the subject; all when absent",
@@ -112,7 +123,7 @@
   }
   const auto target = "/explain?subject=" + (*parsed)["subject"].as<std::string>() +
                       "&limit=" + std::to_string((*parsed)["limit"].as<unsigned>());
-  const auto page = fetch((*parsed)["operator"].as<std::string>(), target, code);
+  const auto page = fetch(*parsed, target, code);
   if (page.is_discarded()) {
     return code;
   }
--- /dev/null
+++ b/src/config/to_document.cpp
@@ -0,0 +1,73 @@
+#include <nlohmann/json.hpp>
+
+#include "kingcupshunt/config/snapshot.h"
+
+namespace kingcupshunt::config {
+
+namespace {
+
+using nlohmann::json;
+
+const char* name_of(request_class c) noexcept {
+  switch (c) {
+  case request_class::critical:
+    return "critical";
+  case request_class::normal:
+    return "normal";
+  case request_class::deferrable:
+    return "deferrable";
+  }
+  return "normal";
+}
+
+json to_json(const service& s) {
+  return {{"floor", s.floor},
+          {"secret_sha256", base::to_hex(s.secret_sha256)},
+          {"queue_limit", s.queue_limit},
+          {"timeout_ms", static_cast<std::uint64_t>(s.timeout.count())},
+          {"health_path", s.health_path},
+          {"max_connections", s.max_connections}};
+}
+
+json to_json(const route& r) {
+  return {{"service", r.service},
+          {"host", r.host},
+          {"prefix", r.prefix},
+          {"methods", r.methods},
+          {"is_open", r.is_open},
+          {"is_repeatable", r.is_repeatable},
+          {"is_hedged", r.is_hedged},
+          {"class", name_of(r.priority)},
+          {"timeout_ms", static_cast<std::uint64_t>(r.timeout.count())},
+          {"body_limit", r.body_limit}};
+}
+
+json to_json(const workspace& w) {
+  return {{"rate", w.rate}, {"burst", w.burst}, {"weight", w.weight}};
+}
+
+json to_json(const key& k) {
+  return {{"workspace", k.workspace},
+          {"sha256", base::to_hex(k.sha256)},
+          {"is_withdrawn", k.is_withdrawn}};
+}
+
+template <class T>
+json section(const named<T>& all) {
+  auto out = json::object();
+  for (const auto& [name, entity] : all) {
+    out[name] = to_json(*entity);
+  }
+  return out;
+}
+
+} // namespace
+
+json to_document(const snapshot& s) {
+  return {{"services", section(s.services())},
+          {"routes", section(s.routes())},
+          {"workspaces", section(s.workspaces())},
+          {"keys", section(s.keys())}};
+}
+
+} // namespace kingcupshunt::config
--- a/src/control/http_client.cpp
+++ b/src/control/http_client.cpp
@@ -18,6 +18,13 @@
 
 constexpr std::uint64_t answer_limit_bytes = 256ULL << 20U;
 
+std::string to_lower(std::string text) {
+  for (auto& c : text) {
+    c = c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c;
+  }
+  return text;
+}
+
 // One exchange as a chain of callbacks, so that a single deadline covers all of it.
 class exchange {
 public:
@@ -45,8 +52,12 @@
       return http_client_error{error_.message()};
     }
     auto answer = parser_.release();
-    return http_response{answer.result_int(), std::string(answer[http::field::content_type]),
-                         std::move(answer.body())};
+    http_response out{answer.result_int(), std::string(answer[http::field::content_type]),
+                      std::move(answer.body())};
+    for (const auto& field : answer) {
+      out.headers[to_lower(std::string(field.name_string()))] = std::string(field.value());
+    }
+    return out;
   }
 
 private:
@@ -86,7 +97,7 @@
 
 base::result<http_response, http_client_error>
 call(const std::string& endpoint, const std::string& method, const std::string& target,
-     const std::string& body, base::milliseconds timeout) {
+     const std::string& body, base::milliseconds timeout, const http_headers& headers) {
   asio::ip::tcp::endpoint to;
   if (!parse_endpoint(endpoint, to)) {
     return http_client_error{"\"" + endpoint + "\" is not an IP address and port"};
@@ -97,6 +108,9 @@
   request.version(11);
   request.set(http::field::host, endpoint);
   request.set(http::field::content_type, "application/json");
+  for (const auto& [name, value] : headers) {
+    request.set(name, value);
+  }
   request.keep_alive(false);
   request.body() = body;
   request.prepare_payload();
--- a/src/control/http_server.cpp
+++ b/src/control/http_server.cpp
@@ -76,6 +76,9 @@
   out.result(in.status);
   out.set(http::field::content_type, in.content_type);
   out.set(http::field::cache_control, "no-store");
+  for (const auto& [name, value] : in.headers) {
+    out.set(name, value);
+  }
   out.keep_alive(keep_alive);
   out.body() = std::move(in.body);
   out.prepare_payload();
--- /dev/null
+++ b/src/node/prober.cpp
@@ -0,0 +1,98 @@
+#include "prober.h"
+
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "kingcupshunt/settings/process_settings.h"
+
+namespace kingcupshunt::node {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+constexpr unsigned first_error_status = 400;
+constexpr std::uint64_t answer_limit_bytes = 64 * 1024;
+
+// One probe; keeps itself alive through its callbacks.
+class probe_call : public std::enable_shared_from_this<probe_call> {
+public:
+  probe_call(asio::io_context& io, std::function<void(health::probe_outcome)> done)
+      : stream_(io), done_(std::move(done)) {
+    parser_.body_limit(answer_limit_bytes);
+  }
+
+  void start(const settings::endpoint& to, const std::string& path, base::milliseconds timeout) {
+    request_.method(http::verb::get);
+    request_.target(path);
+    request_.version(11);
+    request_.set(http::field::host, to.to_string());
+    request_.set(http::field::user_agent, "kingcupshunt-probe");
+    request_.keep_alive(false);
+    stream_.expires_after(timeout);
+    const asio::ip::tcp::endpoint at(asio::ip::make_address(to.address), to.port);
+    stream_.async_connect(at, [self = shared_from_this()](error_code ec) {
+      ec ? self->finish(health::probe_outcome::failed) : self->write();
+    });
+  }
+
+private:
+  void write() {
+    http::async_write(stream_, request_, [self = shared_from_this()](error_code ec, std::size_t) {
+      ec ? self->finish(health::probe_outcome::failed) : self->read();
+    });
+  }
+
+  void read() {
+    http::async_read(
+        stream_, buf_, parser_, [self = shared_from_this()](error_code ec, std::size_t) {
+          if (ec) {
+            self->finish(health::probe_outcome::failed);
+            return;
+          }
+          const bool is_ok = self->parser_.get().result_int() < first_error_status;
+          self->finish(is_ok ? health::probe_outcome::ok : health::probe_outcome::bad_status);
+        });
+  }
+
+  void finish(health::probe_outcome outcome) { done_(outcome); }
+
+  beast::tcp_stream stream_;
+  std::function<void(health::probe_outcome)> done_;
+  http::request<http::empty_body> request_;
+  http::response_parser<http::string_body> parser_;
+  beast::flat_buffer buf_;
+};
+
+} // namespace
+
+void prober::probe(const std::string& upstream, const std::string& path, base::milliseconds timeout,
+                   std::function<void(health::probe_outcome)> done) {
+  settings::endpoint to;
+  if (!settings::parse_endpoint(upstream, to)) {
+    done(health::probe_outcome::failed);
+    return;
+  }
+  std::make_shared<probe_call>(io_, std::move(done))->start(to, path, timeout);
+}
+
+void prober::connect(const std::string& upstream, base::milliseconds timeout,
+                     std::function<void(bool)> done) {
+  settings::endpoint to;
+  if (!settings::parse_endpoint(upstream, to)) {
+    done(false);
+    return;
+  }
+  const auto stream = std::make_shared<beast::tcp_stream>(io_);
+  stream->expires_after(timeout);
+  const asio::ip::tcp::endpoint at(asio::ip::make_address(to.address), to.port);
+  stream->async_connect(at, [stream, done = std::move(done)](error_code ec) { done(!ec); });
+}
+
+} // namespace kingcupshunt::node
--- /dev/null
+++ b/src/node/traffic.cpp
@@ -0,0 +1,286 @@
+#include "traffic.h"
+
+#include <algorithm>
+
+#include "kingcupshunt/base/hash.h"
+#include "kingcupshunt/observe/event_log.h"
+
+namespace kingcupshunt::node {
+
+namespace {
+
+using peer::message_kind;
+
+constexpr base::milliseconds probe_timeout{250};
+constexpr base::milliseconds death_check_timeout{90}; // within crash_suspects_settings::verdict
+
+} // namespace
+
+traffic::traffic(const runtime& rt, fleet_state& fleet) : rt_(rt), fleet_(fleet), prober_(rt.io) {
+  make_health(base::clock::now());
+  make_rates();
+  make_admission();
+}
+
+void traffic::make_health(base::time_point) {
+  const auto decide = [this](observe::decision d) { rt_.decide(std::move(d)); };
+  const auto floor_of = [this](std::string_view service) {
+    const auto found = fleet_.configuration().find_service(service);
+    return found ? found->floor : 1.0;
+  };
+
+  health::registry_settings registry;
+  registry.self = rt_.settings.id;
+  registry.seed = rt_.seed + 3;
+  registry_ = std::make_unique<health::registry>(
+      registry, health::registry_hooks{rt_.send,
+                                       [this](std::string_view service, base::time_point now) {
+                                         follow_service(service, now);
+                                       },
+                                       decide});
+
+  health::reporter_settings report;
+  report.self = rt_.settings.id;
+  report.data_centre = rt_.settings.data_centre;
+  report.probe_timeout = probe_timeout;
+  health::reporter_hooks on_report;
+  on_report.send = rt_.send;
+  on_report.floor_of = floor_of;
+  on_report.start_probe = [this](std::string_view service, std::string_view upstream) {
+    start_probe(service, upstream);
+  };
+  on_report.on_states = [this](std::string_view service, const auto& states, base::time_point now) {
+    balancer_->set_states(service, states, now);
+  };
+  on_report.on_self_faulty = [this](std::string_view service, bool is_faulty,
+                                    std::string_view evidence) {
+    if (is_faulty) {
+      faulty_services_[std::string(service)] = std::string(evidence);
+    } else {
+      faulty_services_.erase(std::string(service));
+    }
+  };
+  on_report.on_decision = decide;
+  reporter_ = std::make_unique<health::reporter>(report, std::move(on_report));
+
+  health::service_owner_settings own;
+  own.self = rt_.settings.id;
+  service_owner_ = std::make_unique<health::service_owner>(
+      own, health::service_owner_hooks{
+               rt_.send, floor_of, [this](base::time_point now) { return fleet_.is_fresh(now); },
+               decide});
+
+  balance::balancer_settings balance;
+  balance.self = rt_.settings.id;
+  balance.data_centre = rt_.settings.data_centre;
+  balance.seed = rt_.seed + 4;
+  balancer_ = std::make_unique<balance::balancer>(
+      balance, balance::balancer_hooks{rt_.send, [this](std::string_view service) {
+                                         const auto s =
+                                             fleet_.configuration().find_service(service);
+                                         return s ? s->max_connections : 330U;
+                                       }});
+}
+
+void traffic::make_rates() {
+  const auto decide = [this](const observe::decision& d) { rt_.decide(d); };
+  const auto count = [this](std::string_view name, std::uint64_t n) {
+    rt_.metrics.count("rates_total", name, static_cast<double>(n));
+  };
+  rates::owner_settings own;
+  own.self = rt_.settings.id;
+  own.incarnation = rt_.incarnation;
+  rates::owner_hooks on_own;
+  on_own.send = rt_.send;
+  on_own.limit_of = [this](std::string_view workspace) -> std::optional<rates::limit> {
+    const auto found = fleet_.configuration().find_workspace(workspace);
+    return found ? std::optional(rates::limit{found->rate, found->burst}) : std::nullopt;
+  };
+  on_own.is_fresh = [this] { return fleet_.is_fresh(base::clock::now()); };
+  on_own.is_view_held = [this](std::uint64_t version) { return fleet_.is_view_held(version); };
+  on_own.on_decision = decide;
+  on_own.on_count = count;
+  rate_owner_ = std::make_unique<rates::owner>(own, std::move(on_own));
+
+  rates::client_settings client;
+  client.incarnation = rt_.incarnation;
+  rate_client_ =
+      std::make_unique<rates::client>(client, rates::client_hooks{rt_.send, decide, count});
+}
+
+void traffic::make_admission() {
+  const auto decide = [this](const observe::decision& d) { rt_.decide(d); };
+  admission::retry_hooks on_retry;
+  on_retry.on_denial = [this](std::string_view denial) {
+    rt_.metrics.count("retry_denials_total", denial);
+  };
+  on_retry.on_decision = decide;
+  retries_ =
+      std::make_unique<admission::retry_policy>(admission::retry_settings{}, std::move(on_retry));
+  hedging_ = std::make_unique<admission::hedging>();
+
+  admission::crash_suspects_settings suspects;
+  suspects.self = rt_.settings.id;
+  admission::crash_suspects_hooks on_suspect;
+  on_suspect.send = rt_.send;
+  on_suspect.pick_idle = [this](std::uint64_t fingerprint) { return pick_idle(fingerprint); };
+  on_suspect.is_fresh = [this] { return fleet_.is_fresh(base::clock::now()); };
+  on_suspect.on_decision = decide;
+  on_suspect.on_count = [this](std::string_view name) {
+    rt_.metrics.count("crash_suspects_total", name);
+  };
+  suspects_ = std::make_unique<admission::crash_suspects>(suspects, std::move(on_suspect));
+}
+
+// Hands the servers of a service to everything that follows them.
+void traffic::follow_service(std::string_view service, base::time_point now) {
+  const auto servers = registry_->upstreams(service);
+  balancer_->set_upstreams(service, servers, now);
+  reporter_->set_upstreams(service, servers, now);
+  service_owner_->set_upstreams(service, servers, now);
+  std::size_t slots = 0;
+  for (const auto& it : servers) {
+    slots += it.info.is_draining ? 0 : it.info.slots;
+  }
+  slots_[std::string(service)] = slots;
+  if (const auto it = queues_.find(service); it != queues_.end()) {
+    it->second->set_slots(slots, now);
+  }
+}
+
+void traffic::follow_configuration(base::time_point) {
+  for (const auto& [name, queue] : queues_) {
+    if (const auto service = fleet_.configuration().find_service(name)) {
+      queue->set_queue_limit(service->queue_limit);
+    }
+  }
+}
+
+void traffic::set_view(const membership::fleet_view& view, base::time_point now) {
+  registry_->set_view(view, now);
+  reporter_->set_view(view, now);
+  service_owner_->set_view(view, now);
+  balancer_->set_view(view, now);
+  rate_owner_->set_view(view, now);
+  rate_client_->set_view(view, now);
+  suspects_->set_view(view, now);
+}
+
+bool traffic::receive(std::string_view from, message_kind kind, std::string_view body,
+                      base::time_point now) {
+  switch (kind) {
+  case message_kind::registry_update:
+  case message_kind::registry_digest:
+    registry_->receive(from, kind, body, now);
+    return true;
+  case message_kind::health_evidence:
+    service_owner_->receive(from, kind, body, now);
+    return true;
+  case message_kind::health_verdicts:
+    reporter_->receive(from, kind, body, now);
+    return true;
+  case message_kind::rate_ask:
+    rate_owner_->receive(from, kind, body, now);
+    return true;
+  case message_kind::rate_grant:
+    rate_client_->receive(from, kind, body, now);
+    return true;
+  case message_kind::load_report:
+    balancer_->receive(from, kind, body, now);
+    return true;
+  case message_kind::crash_suspects:
+    suspects_->receive(from, kind, body, now);
+    return true;
+  default:
+    return false;
+  }
+}
+
+void traffic::tick(base::time_point now) {
+  registry_->tick(now);
+  reporter_->tick(now);
+  service_owner_->tick(now);
+  balancer_->tick(now);
+}
+
+void traffic::fast_tick(base::time_point now) {
+  rate_owner_->tick(now);
+  rate_client_->tick(now);
+  suspects_->tick(now);
+  for (const auto& [name, queue] : queues_) {
+    queue->tick(now);
+  }
+}
+
+std::size_t traffic::running() const {
+  std::size_t n = 0;
+  for (const auto& [name, queue] : queues_) {
+    n += queue->running();
+  }
+  return n;
+}
+
+std::size_t traffic::waiting() const {
+  std::size_t n = 0;
+  for (const auto& [name, queue] : queues_) {
+    n += queue->waiting();
+  }
+  return n;
+}
+
+double traffic::load() const {
+  double worst = 0;
+  for (const auto& [name, queue] : queues_) {
+    const auto limit = queue->limit();
+    if (limit > 0) {
+      worst = std::max(worst, static_cast<double>(queue->running()) / static_cast<double>(limit));
+    }
+  }
+  return worst;
+}
+
+void traffic::start_probe(std::string_view service, std::string_view upstream) {
+  const auto found = fleet_.configuration().find_service(service);
+  const auto path = found ? found->health_path : std::string("/healthz");
+  prober_.probe(std::string(upstream), path, probe_timeout,
+                [this, service = std::string(service),
+                 upstream = std::string(upstream)](health::probe_outcome outcome) {
+                  rt_.metrics.count("probes_total",
+                                    outcome == health::probe_outcome::ok ? "ok" : "failed");
+                  reporter_->probe_done(service, upstream, outcome, base::clock::now());
+                });
+}
+
+std::uint64_t traffic::incident_of(std::string_view service, std::string_view upstream) const {
+  for (const auto& it : registry_->upstreams(service)) {
+    if (it.info.id == upstream) {
+      return base::hash64(upstream, it.info.incarnation);
+    }
+  }
+  return base::hash64(upstream);
+}
+
+// After a cut connection, a new one tells a crashed server from one that only lost a connection.
+void traffic::check_death(const health::attempt& a) {
+  const auto now = base::clock::now();
+  if (!checking_.emplace(a.upstream, now).second) {
+    return;
+  }
+  const auto incident = incident_of(a.service, a.upstream);
+  prober_.connect(a.upstream, death_check_timeout,
+                  [this, upstream = a.upstream, incident](bool is_connected) {
+                    checking_.erase(upstream);
+                    const auto at = base::clock::now();
+                    if (is_connected) {
+                      suspects_->server_alive(upstream, at);
+                    } else {
+                      suspects_->server_died(upstream, incident, at);
+                    }
+                  });
+}
+
+std::optional<std::string> traffic::pick_idle(std::uint64_t) {
+  return std::nullopt;
+}
+
+} // namespace kingcupshunt::node
--- /dev/null
+++ b/src/node/traffic.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "fleet_state.h"
+#include "kingcupshunt/admission/crash_suspects.h"
+#include "kingcupshunt/admission/fair_queue.h"
+#include "kingcupshunt/admission/hedging.h"
+#include "kingcupshunt/admission/retry_policy.h"
+#include "kingcupshunt/balance/balancer.h"
+#include "kingcupshunt/health/registry.h"
+#include "kingcupshunt/health/reporter.h"
+#include "kingcupshunt/health/service_owner.h"
+#include "kingcupshunt/proxy/hooks.h"
+#include "kingcupshunt/rates/client.h"
+#include "kingcupshunt/rates/owner.h"
+#include "prober.h"
+#include "runtime.h"
+
+namespace kingcupshunt::node {
+
+/// The decisions about requests on one instance: servers, health, rates, queues and retries.
+class traffic {
+public:
+  traffic(const runtime& rt, fleet_state& fleet);
+
+  /// Takes messages of registry, health, rates, load and crash suspects. False: another kind.
+  bool receive(std::string_view from, peer::message_kind kind, std::string_view body,
+               base::time_point now);
+  void tick(base::time_point now);
+  /// Between ticks: what requests wait for. Call every 10 ms.
+  void fast_tick(base::time_point now);
+  void set_view(const membership::fleet_view& view, base::time_point now);
+
+  /// The configuration in force changed: queues follow their services.
+  void follow_configuration(base::time_point now);
+
+  /// The decisions that the entry asks for. The hooks refer to this object.
+  proxy::hooks make_hooks();
+
+  health::registry& registry() noexcept { return *registry_; }
+  const health::registry& registry() const noexcept { return *registry_; }
+  const health::reporter& reporter() const noexcept { return *reporter_; }
+  const health::service_owner& service_owner() const noexcept { return *service_owner_; }
+  const rates::owner& rate_owner() const noexcept { return *rate_owner_; }
+  const admission::crash_suspects& suspects() const noexcept { return *suspects_; }
+  std::size_t running() const;
+  std::size_t waiting() const;
+  /// Share of the services' slots that this instance's requests take, 0 to 1.
+  double load() const;
+  /// True while an owner finds that this instance fails with servers that others find good.
+  bool is_faulty() const noexcept { return !faulty_services_.empty(); }
+
+private:
+  // traffic.cpp
+  void make_health(base::time_point now);
+  void make_rates();
+  void make_admission();
+  void follow_service(std::string_view service, base::time_point now);
+  void start_probe(std::string_view service, std::string_view upstream);
+  void check_death(const health::attempt& a);
+  std::uint64_t incident_of(std::string_view service, std::string_view upstream) const;
+  std::optional<std::string> pick_idle(std::uint64_t fingerprint);
+
+  // traffic_hooks.cpp
+  proxy::decided<proxy::authorized_request> authorize(const proxy::request_head& head);
+  void admit(const proxy::request_head& head, const proxy::authorized_request& request,
+             std::function<void(proxy::decided<void>)> done);
+  void enter_queue(const proxy::authorized_request& request,
+                   std::function<void(proxy::decided<void>)> done);
+  void finish(const proxy::authorized_request& request);
+  proxy::decided<proxy::upstream_target> pick(const proxy::authorized_request& request,
+                                              std::uint64_t fingerprint,
+                                              const std::vector<std::string>& tried);
+  void report(const proxy::authorized_request& request, const health::attempt& a);
+  bool may_retry(const proxy::authorized_request& request, const health::attempt& last);
+  void reserve(const proxy::request_head& head, const proxy::authorized_request& request,
+               std::uint64_t fingerprint,
+               std::function<void(proxy::decided<proxy::reservation>)> done);
+  void complete(std::uint64_t attempt_id, std::optional<proxy::stored_answer> answer);
+  admission::fair_queue& queue_of(const config::service& service, base::time_point now);
+  void note_refusal(std::string_view kind, std::string_view subject, const proxy::refusal& r);
+
+  runtime rt_;
+  fleet_state& fleet_;
+  prober prober_;
+  std::unique_ptr<health::registry> registry_;
+  std::unique_ptr<health::reporter> reporter_;
+  std::unique_ptr<health::service_owner> service_owner_;
+  std::unique_ptr<balance::balancer> balancer_;
+  std::unique_ptr<rates::owner> rate_owner_;
+  std::unique_ptr<rates::client> rate_client_;
+  std::unique_ptr<admission::retry_policy> retries_;
+  std::unique_ptr<admission::hedging> hedging_;
+  std::unique_ptr<admission::crash_suspects> suspects_;
+  std::map<std::string, std::unique_ptr<admission::fair_queue>, std::less<>> queues_;
+  std::map<std::string, std::size_t, std::less<>> slots_; ///< announced and usable, by service
+  std::map<std::string, std::string, std::less<>> faulty_services_; ///< evidence, by service
+  std::map<std::string, base::time_point, std::less<>> checking_;   ///< servers under a death check
+};
+
+} // namespace kingcupshunt::node
--- /dev/null
+++ b/src/node/traffic_hooks.cpp
@@ -0,0 +1,286 @@
+#include <algorithm>
+
+#include "kingcupshunt/base/hash.h"
+#include "kingcupshunt/settings/process_settings.h"
+#include "traffic.h"
+
+namespace kingcupshunt::node {
+
+namespace {
+
+using proxy::ran_state;
+using proxy::refusal;
+
+constexpr base::milliseconds busy_retry_after{200};
+
+refusal not_run(unsigned status, std::string reason, std::string message,
+                std::optional<base::milliseconds> retry_after = std::nullopt) {
+  return {status, std::move(reason), std::move(message), ran_state::no, retry_after};
+}
+
+refusal refusal_of(const rates::rate_refusal& r) {
+  switch (r.reason) {
+  case rates::refusal_reason::over_rate:
+    return not_run(429, "over_rate", "the workspace has used its rate and burst", r.retry_after);
+  case rates::refusal_reason::owner_starting:
+    return not_run(503, "rate_owner_starting", "the owner of the workspace's rate is starting",
+                   r.retry_after);
+  case rates::refusal_reason::owner_silent:
+    return not_run(503, "rate_owner_silent", "the owner of the workspace's rate does not answer",
+                   r.retry_after);
+  case rates::refusal_reason::unknown_workspace:
+    return not_run(503, "rate_owner_unknown", "no instance owns the workspace's rate",
+                   r.retry_after);
+  }
+  return not_run(503, "rate_unavailable", "the workspace's rate is not available");
+}
+
+refusal refusal_of(state::client_error error) {
+  // A former attempt with this key may have run; without the log that can't be told.
+  refusal out{503, "reservation_unavailable", state::message_of(error), ran_state::unknown,
+              std::nullopt};
+  return out;
+}
+
+proxy::decided<proxy::reservation> reservation_of(const state::command_result& result,
+                                                  std::uint64_t attempt_id) {
+  switch (result.code) {
+  case state::outcome::granted:
+    return proxy::reservation{attempt_id, std::nullopt};
+  case state::outcome::done:
+    if (result.has_answer) {
+      return proxy::reservation{attempt_id, proxy::stored_answer{result.answer.status,
+                                                                 result.answer.content_type,
+                                                                 result.answer.body}};
+    }
+    return refusal{409, "already_ran", "the request ran; its answer was too large to be kept",
+                   ran_state::yes, std::nullopt};
+  case state::outcome::may_have_run:
+    return refusal{409, "may_have_run",
+                   "an earlier request with this Idempotency-Key may have run " +
+                       std::to_string(result.age_ms) + " ms ago",
+                   ran_state::unknown, std::nullopt};
+  case state::outcome::differs:
+    return refusal{422, "idempotency_key_reused",
+                   "this Idempotency-Key was used for another request", ran_state::unknown,
+                   std::nullopt};
+  case state::outcome::full:
+    return not_run(503, "reservations_full", "no further reservation can be kept");
+  default:
+    return refusal{503, "reservation_refused", state::message_of(result.code), ran_state::unknown,
+                   std::nullopt};
+  }
+}
+
+} // namespace
+
+proxy::hooks traffic::make_hooks() {
+  proxy::hooks out;
+  out.authorize = [this](const proxy::request_head& head) { return authorize(head); };
+  out.admit = [this](const proxy::request_head& head, const proxy::authorized_request& request,
+                     std::function<void(proxy::decided<void>)> done) {
+    admit(head, request, std::move(done));
+  };
+  out.finish = [this](const proxy::authorized_request& request) { finish(request); };
+  out.pick = [this](const proxy::authorized_request& request, std::uint64_t fingerprint,
+                    const std::vector<std::string>& tried) {
+    return pick(request, fingerprint, tried);
+  };
+  out.report = [this](const proxy::authorized_request& request, const health::attempt& a) {
+    report(request, a);
+  };
+  out.may_retry = [this](const proxy::authorized_request& request, const health::attempt& last) {
+    return may_retry(request, last);
+  };
+  out.hedge_delay = [this](const proxy::authorized_request& request) {
+    return hedging_->delay(request.route->name, request.route->is_hedged,
+                           request.route->is_repeatable, request.deadline - base::clock::now());
+  };
+  out.reserve = [this](const proxy::request_head& head, const proxy::authorized_request& request,
+                       std::uint64_t fingerprint,
+                       std::function<void(proxy::decided<proxy::reservation>)> done) {
+    reserve(head, request, fingerprint, std::move(done));
+  };
+  out.complete = [this](std::uint64_t attempt_id, std::optional<proxy::stored_answer> answer) {
+    complete(attempt_id, std::move(answer));
+  };
+  out.release = [this](std::uint64_t attempt_id) {
+    fleet_.client().release_key(attempt_id, base::clock::now());
+  };
+  return out;
+}
+
+proxy::decided<proxy::authorized_request> traffic::authorize(const proxy::request_head& head) {
+  const auto now = base::clock::now();
+  const auto& configuration = fleet_.configuration();
+  proxy::authorized_request out;
+  out.route = configuration.find_route(head.host, head.method, head.path);
+  if (!out.route) {
+    return not_run(404, "no_route", "no route matches this request");
+  }
+  out.service = configuration.find_service(out.route->service);
+  const auto timeout = out.route->timeout.count() > 0 ? out.route->timeout : out.service->timeout;
+  out.deadline = now + timeout;
+  out.turn_started = std::make_shared<base::time_point>(now);
+  if (out.route->is_open) {
+    return out;
+  }
+  if (!head.bearer_key) {
+    return not_run(401, "key_missing", "this route needs Authorization: Bearer with a key");
+  }
+  const auto key = configuration.find_key(base::sha256(*head.bearer_key));
+  if (fleet_.is_fresh(now) && (!key || key->is_withdrawn)) {
+    return not_run(401, key ? "key_withdrawn" : "key_unknown", "the key is not accepted");
+  }
+  if (!fleet_.is_fresh(now)) {
+    // The key may have been withdrawn, or issued, without this instance having heard of it.
+    return not_run(503, "stale_view", "this instance is cut off from the fleet; use another one");
+  }
+  out.workspace = configuration.find_workspace(key->workspace);
+  return out;
+}
+
+void traffic::admit(const proxy::request_head&, const proxy::authorized_request& request,
+                    std::function<void(proxy::decided<void>)> done) {
+  if (!request.workspace) {
+    enter_queue(request, std::move(done));
+    return;
+  }
+  const auto& workspace = request.workspace->name;
+  rate_client_->acquire(workspace, base::clock::now(), request.deadline,
+                        [this, request, done = std::move(done)](rates::acquired token) {
+                          if (token) {
+                            enter_queue(request, done);
+                            return;
+                          }
+                          auto refused = refusal_of(token.error());
+                          note_refusal("workspace", request.workspace->name, refused);
+                          done(std::move(refused));
+                        });
+}
+
+admission::fair_queue& traffic::queue_of(const config::service& service, base::time_point now) {
+  auto& queue = queues_[service.name];
+  if (!queue) {
+    admission::fair_queue_hooks hooks;
+    hooks.on_decision = [this](const observe::decision& d) { rt_.decide(d); };
+    queue = std::make_unique<admission::fair_queue>(
+        admission::fair_queue_settings{service.name, service.queue_limit}, std::move(hooks));
+    const auto it = slots_.find(service.name);
+    queue->set_slots(it == slots_.end() ? 0 : it->second, now);
+  }
+  return *queue;
+}
+
+void traffic::enter_queue(const proxy::authorized_request& request,
+                          std::function<void(proxy::decided<void>)> done) {
+  const auto now = base::clock::now();
+  admission::queued_request queued;
+  if (request.workspace) {
+    queued.workspace = request.workspace->name;
+    queued.weight = request.workspace->weight;
+  }
+  queued.priority = request.route->priority;
+  queued.deadline = request.deadline;
+  const auto started = request.turn_started;
+  queue_of(*request.service, now)
+      .enter(queued, now, [started, done = std::move(done)](proxy::decided<void> turn) {
+        *started = base::clock::now();
+        done(std::move(turn));
+      });
+}
+
+void traffic::finish(const proxy::authorized_request& request) {
+  const auto now = base::clock::now();
+  queue_of(*request.service, now)
+      .finish(request.workspace ? request.workspace->name : std::string{}, request.route->priority,
+              now - *request.turn_started, now);
+}
+
+proxy::decided<proxy::upstream_target> traffic::pick(const proxy::authorized_request& request,
+                                                     std::uint64_t /*fingerprint*/,
+                                                     const std::vector<std::string>& tried) {
+  const auto now = base::clock::now();
+  balance::pick_request wanted;
+  wanted.service = request.service->name;
+  wanted.route = request.route->name;
+  wanted.tried = tried;
+  wanted.is_repeatable = request.route->is_repeatable;
+  auto picked = balancer_->pick(wanted, now);
+  if (!picked) {
+    if (picked.error() == balance::pick_error::all_busy) {
+      return not_run(503, "upstreams_busy", "all backend servers of the service are full",
+                     busy_retry_after);
+    }
+    return not_run(503, "no_upstream", "the service has no backend server to use");
+  }
+  proxy::upstream_target out;
+  settings::endpoint endpoint;
+  if (!settings::parse_endpoint(picked.value(), endpoint)) {
+    balancer_->release(request.service->name, picked.value());
+    return not_run(503, "no_upstream", "the backend server's address is not usable");
+  }
+  out.id = picked.value();
+  out.address = endpoint.address;
+  out.port = endpoint.port;
+  reporter_->started(request.service->name, request.route->name, out.id, now);
+  return out;
+}
+
+void traffic::report(const proxy::authorized_request& request, const health::attempt& a) {
+  const auto now = base::clock::now();
+  balancer_->report(a, now);
+  reporter_->report(a, now);
+  retries_->note(request.workspace ? request.workspace->name : std::string{}, a, now);
+  hedging_->note(a);
+  rt_.metrics.count("attempts_total", health::to_string(a.end));
+  rt_.metrics.observe_seconds("attempt", base::to_seconds(a.total));
+  if (a.end == health::attempt_end::shed) {
+    queue_of(*request.service, now).note_shed(now);
+  }
+  if (a.end == health::attempt_end::closed_unanswered || a.end == health::attempt_end::truncated) {
+    check_death(a);
+  }
+}
+
+bool traffic::may_retry(const proxy::authorized_request& request, const health::attempt& last) {
+  admission::retry_request asked;
+  asked.workspace = request.workspace ? std::string_view(request.workspace->name) : "";
+  asked.is_repeatable = request.route->is_repeatable;
+  asked.deadline = request.deadline;
+  return retries_->decide(asked, last, base::clock::now()).is_allowed;
+}
+
+void traffic::reserve(const proxy::request_head& head, const proxy::authorized_request& request,
+                      std::uint64_t fingerprint,
+                      std::function<void(proxy::decided<proxy::reservation>)> done) {
+  const auto attempt = std::make_shared<std::uint64_t>(0);
+  const auto on_answer =
+      [attempt, done = std::move(done)](const state::client_result<state::command_result>& answer) {
+        if (!answer) {
+          done(refusal_of(answer.error()));
+          return;
+        }
+        done(reservation_of(answer.value(), *attempt));
+      };
+  *attempt =
+      fleet_.client().reserve_key(request.workspace->name, *head.idempotency_key, fingerprint,
+                                  request.deadline, on_answer, base::clock::now());
+}
+
+void traffic::complete(std::uint64_t attempt_id, std::optional<proxy::stored_answer> answer) {
+  const auto now = base::clock::now();
+  if (!answer) {
+    fleet_.client().abandon_key(attempt_id);
+    return;
+  }
+  fleet_.client().complete_key(
+      attempt_id, state::kept_answer{answer->status, answer->content_type, answer->body}, now);
+}
+
+void traffic::note_refusal(std::string_view kind, std::string_view subject, const refusal& r) {
+  rt_.decide({"refusal." + r.reason, std::string(kind), std::string(subject), "refused",
+              "status=" + std::to_string(r.status), 0});
+}
+
+} // namespace kingcupshunt::node
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -185,6 +185,7 @@
   reader.read("operator_secret_file", secrets.operators);
   reader.read("data_folder", out.data_folder);
   reader.read("config_folder", out.config_folder);
+  reader.read_ms("stop_lead_ms", out.stop_lead, 0, max_time_ms);
   reader.read_ms("stop_grace_ms", out.stop_grace, 0, max_time_ms);
   read_object(reader, document, "listen", [&](object_reader& r) { read_listen(r, out); });
   read_object(reader, document, "limits", [&](object_reader& r) { read_limits(r, out.limits); });
--- a/tests/config/snapshot_test.cpp
+++ b/tests/config/snapshot_test.cpp
@@ -102,3 +102,15 @@
   CHECK(!held.apply(delta));
   CHECK(held.find_route("", "GET", "/fit") != nullptr);
 }
+
+TEST_CASE("the document of a snapshot gives an equal snapshot, so images lose nothing") {
+  auto all = base_files();
+  all["20.json"] = R"({"routes": {"fit": {"class": "deferrable", "is_hedged": true, "host": "h"}},
+                       "workspaces": {"optician-1": {"weight": 2.5}}})";
+  const auto before = config::parse(all).value();
+  config::snapshot after;
+  REQUIRE(after.apply(config::to_document(before)));
+  CHECK(config::to_document(after) == config::to_document(before));
+  CHECK(after.find_route("h", "GET", "/fit")->priority == config::request_class::deferrable);
+  CHECK(after.find_workspace("optician-1")->weight == 2.5);
+}
--- /dev/null
+++ b/tests/support/child_process.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <spawn.h>
+#include <string>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <utility>
+#include <vector>
+
+extern char** environ;
+
+namespace kingcupshunt::testing {
+
+/// A program started by a test, killed when the test ends.
+class child_process {
+public:
+  /// Starts `command`; both outputs are appended to `log_file`.
+  child_process(std::vector<std::string> command, const std::string& log_file) {
+    std::vector<char*> argv;
+    for (auto& it : command) {
+      argv.push_back(it.data());
+    }
+    argv.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    if (posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ) != 0) {
+      pid_ = -1;
+    }
+    posix_spawn_file_actions_destroy(&actions);
+  }
+
+  child_process(child_process&& other) noexcept : pid_(std::exchange(other.pid_, -1)) {}
+  child_process& operator=(child_process&& other) noexcept {
+    std::swap(pid_, other.pid_);
+    return *this;
+  }
+  child_process(const child_process&) = delete;
+  child_process& operator=(const child_process&) = delete;
+
+  ~child_process() {
+    if (is_running()) {
+      kill(pid_, SIGKILL);
+      wait();
+    }
+  }
+
+  bool is_running() const noexcept { return pid_ > 0; }
+  void send(int signal) const { kill(pid_, signal); }
+
+  /// Waits for the end; returns the exit code, or 128 plus the signal.
+  int wait() {
+    int status = 0;
+    waitpid(std::exchange(pid_, -1), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  }
+
+private:
+  pid_t pid_ = -1;
+};
+
+} // namespace kingcupshunt::testing
