Carry the former view in images and test kills, freezes, stops and drains

Cause: an instance that restarts and takes a whole state did not know the view before the present one, so no revision counted as held there and the rates that it owned would never start. Change: state::image carries the former view; process tests for kill and return, SIGSTOP over a withdrawal, planned stop and drain.

--- a/include/kingcupshunt/state/delta.h
+++ b/include/kingcupshunt/state/delta.h
@@ -33,8 +33,10 @@
   std::uint64_t revision = 0;
   std::string config; ///< merged document as JSON
   membership::fleet_view view;
+  /// The view before the last change of it; its majority counts until the change has settled.
+  membership::fleet_view former_view;
 
-  MSGPACK_DEFINE_MAP(revision, config, view)
+  MSGPACK_DEFINE_MAP(revision, config, view, former_view)
 };
 
 view_change make_view_change(const membership::fleet_view& before,
--- a/include/kingcupshunt/state/follower.h
+++ b/include/kingcupshunt/state/follower.h
@@ -83,6 +83,7 @@
   delta_ring ring_;
   std::uint64_t revision_ = 0;
   membership::fleet_view view_;
+  membership::fleet_view former_view_;
   std::uint64_t target_ = 0;
   bool has_target_ = false;
   std::map<std::uint64_t, delta> early_;
--- a/src/node/fleet_state.cpp
+++ b/src/node/fleet_state.cpp
@@ -64,7 +64,6 @@
     if (self->voter_) {
       const auto& machine = self->voter_->server().current();
       self->follower_->replace_local(machine.make_image(), base::clock::now());
-      self->freshness_->set_previous_view(machine.former_view());
     }
   };
   on_voter.on_disk_time = out->hooks_.on_disk_time;
@@ -76,7 +75,6 @@
   const auto& machine = out->voter_->server().current();
   if (machine.revision() > out->follower_->revision()) {
     out->follower_->replace_local(machine.make_image(), now);
-    out->freshness_->set_previous_view(machine.former_view());
   }
   return out;
 }
@@ -161,6 +159,7 @@
   view_ = i.view;
   view_revision_ = i.revision;
   follow_view(now);
+  freshness_->set_previous_view(i.former_view);
   freshness_->set_applied(i.revision, now);
   observe::log_info("revision_in_force",
                     {{"revision", i.revision}, {"is_image", true}, {"view", view_.version}});
--- a/src/state/follower.cpp
+++ b/src/state/follower.cpp
@@ -114,7 +114,7 @@
   } else if (has_newer) {
     if (!can_serve_image(m)) {
       image_ = std::make_shared<const std::string>(
-          peer::pack(image{revision_, hooks_.make_config(), view_}));
+          peer::pack(image{revision_, hooks_.make_config(), view_, former_view_}));
       image_revision_ = revision_;
     }
     image_asked_at_ = now;
@@ -218,6 +218,7 @@
   }
   revision_ = d.revision;
   if (d.view.version != 0) {
+    former_view_ = view_;
     apply_view_change(view_, d.view);
   }
   ring_.push(d);
@@ -245,6 +246,7 @@
   wants_image_ = false;
   revision_ = i.revision;
   view_ = i.view;
+  former_view_ = i.former_view;
   ring_.clear();
   take_early();
   return true;
--- a/src/state/machine.cpp
+++ b/src/state/machine.cpp
@@ -228,7 +228,7 @@
 }
 
 image machine::make_image() const {
-  return {revision_, document_.merged().dump(), view_};
+  return {revision_, document_.merged().dump(), view_, former_view_};
 }
 
 } // namespace kingcupshunt::state
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+bool is_ready_with_routes(const testing::fleet& f, int i) {
+  return f.is_ready(i) && f.get(i, "/config")["document"]["routes"].size() == 3;
+}
+
 // Waits until an instance serves a request. Owners of rates wait before their first grant, so that
 // a former owner's tokens have certainly expired.
 bool serves(const testing::fleet& f, int i) {
@@ -26,8 +30,7 @@
       start(i);
     }
     for (int i = 1; i <= instances; ++i) {
-      REQUIRE(wait_until(
-          [&] { return is_ready(i) && get(i, "/config")["document"]["routes"].size() == 3; }));
+      REQUIRE(wait_until([&] { return is_ready_with_routes(*this, i); }));
     }
   }
 };
@@ -135,3 +138,82 @@
   CHECK(testing::send(f.entry(other), "POST", "/order", f.workspace_key.text, "other", header)
             .reason == "idempotency_key_reused");
 }
+
+TEST_CASE("an instance that is killed and returns serves again, its owned rates included") {
+  running_fleet f(34, 4);
+  testing::backend server(f.address(101), 9000);
+  const auto announce = [&] {
+    return server.announce("fitting", f.announce(1), f.service_secret.text);
+  };
+  REQUIRE(announce() == 200);
+  REQUIRE(serves(f, 4));
+  for (const int i : {4, 2}) {
+    f.processes.erase(i);
+    f.start(i);
+    REQUIRE(wait_until([&] { return is_ready_with_routes(f, i); }));
+    // The fleet stays whole: every instance serves, whichever owns the workspace's rate.
+    for (int j = 1; j <= 4; ++j) {
+      announce();
+      CHECK(serves(f, j));
+    }
+  }
+}
+
+TEST_CASE("an instance that was frozen refuses keyed requests until it is fresh again") {
+  running_fleet f(35, 4);
+  testing::backend server(f.address(101), 9000);
+  REQUIRE(server.announce("fitting", f.announce(1), f.service_secret.text) == 200);
+  REQUIRE(serves(f, 4));
+  f.processes.at(4).send(SIGSTOP);
+  const nlohmann::json change = {
+      {"request_id", "withdraw-1"},
+      {"base_revision", f.get(1, "/config")["files_revision"]},
+      {"author", "test"},
+      {"files", {{"90.json", {{"keys", {{"k1", {{"is_withdrawn", true}}}}}}}}}};
+  const auto withdrawn = control::call(f.operators(2), "POST", "/config/changes", change.dump(),
+                                       base::milliseconds(8000));
+  REQUIRE(withdrawn);
+  CHECK(withdrawn.value().status == 200);
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  f.processes.at(4).send(SIGCONT);
+  // The first answers after the freeze: whatever they are, the withdrawn key opens nothing.
+  for (int i = 0; i < 200; ++i) {
+    REQUIRE(testing::send(f.entry(4), "GET", "/fit", f.workspace_key.text).status != 200);
+  }
+  CHECK(wait_until([&] {
+    return testing::send(f.entry(4), "GET", "/fit", f.workspace_key.text).reason == "key_withdrawn";
+  }));
+}
+
+TEST_CASE("a planned stop ends with exit code 0 and leaves the address answers first") {
+  running_fleet f(36, 4);
+  const auto listed = [&](int asked, const std::string& entry) {
+    const auto answer = testing::send(f.entry(asked), "GET", "/.kingcupshunt/addresses/dc1", "");
+    return answer.body.find(entry) != std::string::npos;
+  };
+  REQUIRE(wait_until([&] { return listed(2, f.entry(4)); }));
+  f.processes.at(4).send(SIGTERM);
+  CHECK(wait_until([&] { return !listed(2, f.entry(4)); }));
+  CHECK(f.processes.at(4).wait() == 0);
+}
+
+TEST_CASE("a draining backend server gets no new work") {
+  running_fleet f(37);
+  testing::backend leaving(f.address(101), 9000);
+  testing::backend staying(f.address(102), 9000);
+  leaving.announce("fitting", f.announce(1), f.service_secret.text);
+  staying.announce("fitting", f.announce(2), f.service_secret.text);
+  for (int i = 1; i <= 3; ++i) {
+    REQUIRE(wait_until(
+        [&] { return has_upstream(f, i, leaving.id()) && has_upstream(f, i, staying.id()); }));
+  }
+  REQUIRE(serves(f, 3));
+  leaving.announce("fitting", f.announce(2), f.service_secret.text, true);
+  REQUIRE(wait_until([&] { return !has_upstream(f, 3, leaving.id()); }, std::chrono::seconds(2)));
+  const auto before = leaving.runs();
+  for (int i = 0; i < 30; ++i) {
+    staying.announce("fitting", f.announce(1), f.service_secret.text);
+    CHECK(testing::send(f.entry(3), "GET", "/fit", f.workspace_key.text).status == 200);
+  }
+  CHECK(leaving.runs() == before);
+}
