--- a/include/kingcupshunt/consensus/replica.h
+++ b/include/kingcupshunt/consensus/replica.h
@@ -185,7 +185,7 @@
 
   // replica_voters.cpp
   void advance_voter_changes(base::time_point now);
-  replica_result<void> propose_voters(voter_set next, base::time_point now);
+  replica_result<void> propose_voters(const voter_set& next, base::time_point now);
   replica_result<void> may_change_voters() const;
   void refresh_progress(base::time_point now);
   bool is_same_store(const voter& v, const progress& p) const noexcept;
--- a/src/consensus/replica_voters.cpp
+++ b/src/consensus/replica_voters.cpp
@@ -44,7 +44,7 @@
   return base::success();
 }
 
-replica_result<void> replica::propose_voters(voter_set next, base::time_point now) {
+replica_result<void> replica::propose_voters(const voter_set& next, base::time_point now) {
   BOOST_OUTCOME_TRY(may_change_voters());
   append_entry(entry_kind::voters, peer::pack(next));
   refresh_progress(now);
@@ -59,7 +59,7 @@
     return replica_error::unknown_voter;
   }
   next.joining.emplace_back(id);
-  return propose_voters(std::move(next), now);
+  return propose_voters(next, now);
 }
 
 replica_result<void> replica::remove_voter(std::string_view id, base::time_point now) {
@@ -69,7 +69,7 @@
   if (n == 0 || next.voters.empty()) {
     return replica_error::unknown_voter;
   }
-  return propose_voters(std::move(next), now);
+  return propose_voters(next, now);
 }
 
 // A voter that came back with another data folder is removed and joins again, in two changes: the
@@ -84,7 +84,7 @@
       auto next = voters_;
       std::erase_if(next.voters, [&](auto& other) { return other.id == v.id; });
       next.joining.push_back(v.id);
-      (void)propose_voters(std::move(next), now);
+      (void)propose_voters(next, now);
       return;
     }
   }
@@ -96,7 +96,7 @@
       std::erase(next.joining, id);
       next.voters.push_back({id, it->second.store});
       std::ranges::sort(next.voters, {}, &voter::id);
-      (void)propose_voters(std::move(next), now);
+      (void)propose_voters(next, now);
       return;
     }
   }
--- a/tests/consensus/cluster.h
+++ b/tests/consensus/cluster.h
@@ -95,7 +95,11 @@
       });
     };
     h.apply = [this, id](const consensus::entry& e) {
-      nodes_[id].applied.push_back(e.payload);
+      auto& owner = nodes_[id];
+      owner.applied.push_back(e.payload);
+      if (owner.replica && owner.replica->is_leader() && owner.replica->term() == e.term) {
+        acknowledged.insert(e.payload);
+      }
       check_applied(id);
     };
     h.take_snapshot = [this, id] { return peer_pack(nodes_[id].applied); };
@@ -176,6 +180,8 @@
   /// Longest sequence of commands that any replica has applied.
   const std::vector<std::string>& history() const { return history_; }
 
+  /// Commands that a leader applied in the term in which it took them.
+  std::set<std::string> acknowledged;
   /// What a check found wrong; empty when nothing.
   std::string violation;
   double loss = 0;
