Bind votes to the data folder of the candidate

Change: vote requests and answers carry the candidate's folder, and voters refuse a candidate whose folder is not the recorded one.

--- a/include/kingcupshunt/consensus/messages.h
+++ b/include/kingcupshunt/consensus/messages.h
@@ -40,8 +40,9 @@
   bool is_transfer = false; ///< the former leader asked for this election
   std::uint64_t last_index = 0;
   std::uint64_t last_term = 0;
+  std::string store; ///< of the candidate
 
-  MSGPACK_DEFINE_MAP(term, is_pre_vote, is_transfer, last_index, last_term)
+  MSGPACK_DEFINE_MAP(term, is_pre_vote, is_transfer, last_index, last_term, store)
 };
 
 struct vote_answer {
@@ -49,8 +50,11 @@
   bool is_pre_vote = false;
   bool is_granted = false;
   std::string store;
+  /// Data folder for which the vote was asked: a candidate that lost its disk since then must not
+  /// count it.
+  std::string candidate_store;
 
-  MSGPACK_DEFINE_MAP(term, is_pre_vote, is_granted, store)
+  MSGPACK_DEFINE_MAP(term, is_pre_vote, is_granted, store, candidate_store)
 };
 
 /// Part of a snapshot; the receiver answers each one.
--- a/include/kingcupshunt/consensus/types.h
+++ b/include/kingcupshunt/consensus/types.h
@@ -60,7 +60,7 @@
 /// Term and vote; durable before any answer that depends on them.
 struct hard_state {
   std::uint64_t term = 0;
-  std::string voted_for; ///< empty: no vote in this term
+  std::string voted_for; ///< id and data folder; empty: no vote in this term
 
   bool operator==(const hard_state&) const = default;
   MSGPACK_DEFINE_MAP(term, voted_for)
--- a/src/consensus/replica_election.cpp
+++ b/src/consensus/replica_election.cpp
@@ -5,6 +5,14 @@
 
 namespace kingcupshunt::consensus {
 
+namespace {
+
+std::string candidate_name(std::string_view id, std::string_view store) {
+  return std::string(id) + "/" + std::string(store);
+}
+
+} // namespace
+
 void replica::reset_election_timer(base::time_point now) {
   const auto base = settings_.election_timeout.count();
   election_at_ = now + settings_.election_timeout +
@@ -46,13 +54,14 @@
   reset_election_timer(now);
   granted_.clear();
   leader_.clear();
-  vote m{state_.term + 1, is_pre_vote, is_transfer, log_.last_index(), log_.last_term()};
+  const vote m{state_.term + 1,   is_pre_vote,      is_transfer,
+               log_.last_index(), log_.last_term(), settings_.self.store};
   if (is_pre_vote) {
     role_ = role::pre_candidate;
     granted_[settings_.self.id] = settings_.self.store;
   } else {
     role_ = role::candidate;
-    state_ = {m.term, settings_.self.id};
+    state_ = {m.term, candidate_name(settings_.self.id, settings_.self.store)};
     verified_ = 0;
     last_sequence_read_ = 0;
     store_state();
@@ -143,25 +152,30 @@
   }
   const bool is_log_current = m.last_term > log_.last_term() || (m.last_term == log_.last_term() &&
                                                                  m.last_index >= log_.last_index());
+  const auto* candidate = voters_.find(from);
+  if (candidate != nullptr && !candidate->store.empty() && candidate->store != m.store) {
+    return;
+  }
   if (!m.is_pre_vote && m.term > state_.term) {
     become_follower(m.term, "", now);
   }
+  const auto name = candidate_name(from, m.store);
   bool is_granted = is_log_current;
   if (m.is_pre_vote) {
     is_granted = is_granted && m.term > state_.term;
   } else {
     is_granted = is_granted && m.term == state_.term && role_ != role::candidate &&
-                 (state_.voted_for.empty() || state_.voted_for == from);
+                 (state_.voted_for.empty() || state_.voted_for == name);
   }
   if (is_granted && !m.is_pre_vote) {
     if (state_.voted_for.empty()) {
-      state_.voted_for = std::string(from);
+      state_.voted_for = name;
       store_state();
     }
     reset_election_timer(now);
   }
   const vote_answer answer{is_granted ? m.term : state_.term, m.is_pre_vote, is_granted,
-                           settings_.self.store};
+                           settings_.self.store, m.store};
   send_after_sync(from, peer::message_kind::log_vote_answer, peer::pack(answer));
 }
 
@@ -174,7 +188,7 @@
   }
   const bool is_awaited = m.is_pre_vote ? role_ == role::pre_candidate && m.term == state_.term + 1
                                         : role_ == role::candidate && m.term == state_.term;
-  if (is_awaited) {
+  if (is_awaited && m.candidate_store == settings_.self.store) {
     granted_.insert_or_assign(std::string(from), m.store);
     count_votes(now);
   }
