Refuse numbers that overflow and write typed configuration back

Cause: a file with a number such as 1e999 makes nlohmann throw out_of_range, which would end every voter that applies it; nesting without bound would exhaust the stack. Change: both are refused before parsing. state::write_config lets an instance with typed entries serve its state.

--- a/include/kingcupshunt/consensus/replica.h
+++ b/include/kingcupshunt/consensus/replica.h
@@ -117,6 +117,11 @@
   std::uint64_t applied_index() const noexcept { return applied_; }
   std::uint64_t last_index() const noexcept { return log_.last_index(); }
   const voter_set& voters() const noexcept { return voters_; }
+  /// The last change of the voters is committed and none is joining. Only then may a second data
+  /// folder be replaced.
+  bool are_voters_settled() const noexcept {
+    return voters_index_ <= commit_ && voters_.joining.empty();
+  }
   /// A write failed; the data folder must be opened again by a restart.
   bool has_failed() const noexcept { return has_failed_; }
   /// Writes finish within the bound.
--- a/src/state/document.cpp
+++ b/src/state/document.cpp
@@ -16,10 +16,12 @@
 // Deeper values have no use in the folder and would exhaust the stack of recursive functions.
 constexpr std::size_t max_depth = 32;
 
-/// Reads events of the parser only to bound the nesting.
+/// Reads events of the parser to bound the nesting and to find numbers that no type holds, for
+/// which the ordinary parser throws.
 struct depth_check : json::json_sax_t {
   std::size_t depth = 0;
   bool is_too_deep = false;
+  bool is_overflow = false;
 
   bool enter() {
     is_too_deep = ++depth > max_depth;
@@ -41,7 +43,9 @@
   bool end_object() override { return leave(); }
   bool start_array(std::size_t) override { return enter(); }
   bool end_array() override { return leave(); }
-  bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
+  bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception& e) override {
+    constexpr int out_of_range_number = 406;
+    is_overflow = e.id == out_of_range_number;
     return false;
   }
 };
@@ -74,11 +78,14 @@
 config::result<document::file_statements> document::read_file(const std::string& name,
                                                               const std::string& text) {
   depth_check nesting;
-  if (!json::sax_parse(text, &nesting, json::input_format_t::json, true, true) &&
-      nesting.is_too_deep) {
+  json::sax_parse(text, &nesting, json::input_format_t::json, true, true);
+  if (nesting.is_too_deep) {
     return error{error_code::out_of_range, name, "",
                  "found values nested deeper than " + std::to_string(max_depth)};
   }
+  if (nesting.is_overflow) {
+    return error{error_code::out_of_range, name, "", "found a number that is too large"};
+  }
   // merge reports syntax errors with line and column.
   BOOST_OUTCOME_TRY(config::merge({{name, text}}));
   const auto parsed = json::parse(text, nullptr, true, true);
--- a/tests/state/machine_test.cpp
+++ b/tests/state/machine_test.cpp
@@ -4,6 +4,7 @@
 
 #include "kingcupshunt/base/rng.h"
 #include "kingcupshunt/peer/message.h"
+#include "kingcupshunt/state/config_writer.h"
 #include "kingcupshunt/state/machine.h"
 
 using namespace kingcupshunt;
@@ -82,6 +83,9 @@
   CHECK(apply(m, change("r4", 1, {{"30.json", deep}})).code == outcome::invalid);
   CHECK(apply(m, change("r5", 1, {{"30.json", R"({"routes": {"a~b/c": {"x~y": 1}}})"}})).code ==
         outcome::invalid);
+  CHECK(
+      apply(m, change("r6", 1, {{"30.json", R"({"workspaces": {"w": {"rate": 1e999}}})"}})).code ==
+      outcome::invalid);
   CHECK(m.revision() == 1);
   CHECK(m.configuration().files().size() == 1);
 }
@@ -279,3 +283,23 @@
     }
   }));
 }
+
+// Guards against an instance that takes its state from another one and differs from it.
+TEST_CASE("a typed configuration that is written and read again stays the same") {
+  const std::string file =
+      R"({"services": {"s": {"secret_sha256": ")" + secret +
+      R"(", "floor": 0.1, "queue_limit": 3, "timeout_ms": 7, "health_path": "/h"}},
+          "routes": {"r": {"service": "s", "prefix": "/p/", "host": "h", "methods": ["GET"],
+                           "is_hedged": true, "class": "deferrable", "body_limit": 9}},
+          "workspaces": {"w": {"rate": 0.3, "burst": 2, "weight": 0.7}},
+          "keys": {"k": {"workspace": "w", "sha256": ")" +
+      secret + R"(", "is_withdrawn": true}}})";
+  const auto first = config::parse({{"10.json", file}}).value();
+  config::snapshot second;
+  const auto written = write_config(first);
+  REQUIRE(second.apply(nlohmann::json::parse(written)));
+  CHECK(write_config(second) == written);
+  CHECK(second.routes().at("r")->priority == config::request_class::deferrable);
+  CHECK(second.workspaces().at("w")->rate == 0.3);
+  CHECK(second.keys().at("k")->is_withdrawn);
+}
