--- a/include/kingcupshunt/state/client.h
+++ b/include/kingcupshunt/state/client.h
@@ -95,6 +95,9 @@
 
   std::uint64_t start(command_kind kind, std::string body, bool is_read, base::time_point deadline,
                       done_function done, base::time_point now);
+  /// Starts a complete or release, which is resent for closing_time.
+  void close(command_kind kind, std::string body, base::time_point now);
+  bool has_room(bool is_closing) const noexcept;
   void send_call(call& c, base::time_point now);
   void on_answer(std::string_view from, const proposal_answer& m, base::time_point now);
   void on_reserve_answer(std::uint64_t attempt, const done_function& done,
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -46,7 +46,8 @@
 
 std::uint64_t client::start(command_kind kind, std::string body, bool is_read,
                             base::time_point deadline, done_function done, base::time_point now) {
-  if (calls_.size() >= settings_.max_calls) {
+  const bool is_closing = kind == command_kind::complete || kind == command_kind::release;
+  if (!has_room(is_closing)) {
     done(client_error::overloaded);
     return 0;
   }
@@ -63,6 +64,17 @@
   return id;
 }
 
+// Closing a reservation has room of its own: without it the key would stay "may have run" when the
+// instance is busy.
+bool client::has_room(bool is_closing) const noexcept {
+  return calls_.size() < settings_.max_calls * (is_closing ? 2 : 1);
+}
+
+void client::close(command_kind kind, std::string body, base::time_point now) {
+  start(
+      kind, std::move(body), false, now + settings_.closing_time, [](const auto&) {}, now);
+}
+
 void client::send_call(call& c, base::time_point now) {
   c.sent_to = leader_.empty() ? next_voter(c.sent_to) : leader_;
   c.resend_at = now + settings_.resend_interval;
@@ -196,9 +208,7 @@
   const auto a = std::move(it->second);
   attempts_.erase(it);
   calls_.erase(a.call_id);
-  start(
-      command_kind::release, peer::pack(release{a.workspace, a.key, attempt}), false,
-      now + settings_.closing_time, [](const auto&) {}, now);
+  close(command_kind::release, peer::pack(release{a.workspace, a.key, attempt}), now);
 }
 
 void client::complete_key(std::uint64_t attempt, std::optional<kept_answer> answer,
@@ -212,9 +222,7 @@
   if (answer) {
     c.answer = std::move(*answer);
   }
-  start(
-      command_kind::complete, peer::pack(c), false, now + settings_.closing_time,
-      [](const auto&) {}, now);
+  close(command_kind::complete, peer::pack(c), now);
 }
 
 } // namespace kingcupshunt::state
