--- a/include/kingcupshunt/health/evidence.h
+++ b/include/kingcupshunt/health/evidence.h
@@ -36,10 +36,11 @@
   std::vector<std::uint8_t> total;      ///< bucket of its whole time, same order
   std::uint32_t soft_errors = 0;
   std::uint32_t hard_errors = 0;
+  std::uint32_t refused = 0;          ///< hard errors without a connection
   std::vector<std::uint8_t> censored; ///< age at which an attempt was given up
   std::vector<std::uint8_t> open;     ///< present ages of attempts without an answer yet
 
-  MSGPACK_DEFINE_MAP(route, first_byte, total, soft_errors, hard_errors, censored, open)
+  MSGPACK_DEFINE_MAP(route, first_byte, total, soft_errors, hard_errors, refused, censored, open)
 };
 
 struct upstream_evidence {
--- a/include/kingcupshunt/health/service_health.h
+++ b/include/kingcupshunt/health/service_health.h
@@ -83,8 +83,9 @@
     upstream up;
     double error_score = 0;
     double latency_score = 0;
-    double hard_share = 0;   ///< decayed part of hard errors among bad attempts
-    double latency_gain = 0; ///< latency score gained since gain_since
+    bool has_hard_error = false; ///< since the scores were cleared
+    bool has_refused = false;    ///< a connection, by a request
+    double latency_gain = 0;     ///< latency score gained since gain_since
     base::time_point gain_since{};
     double recent_bad = 0; ///< attempts of the last seconds
     double recent_good = 0;
--- a/src/health/reporter.cpp
+++ b/src/health/reporter.cpp
@@ -103,6 +103,7 @@
     r.censored.push_back(latency_bucket(a.total));
   }
   r.soft_errors += kind == evidence_kind::soft_error ? 1 : 0;
+  r.refused += a.end == attempt_end::connect_failed ? 1 : 0;
   r.hard_errors += kind == evidence_kind::hard_error ? 1 : 0;
   if (kind == evidence_kind::good) {
     v.failures_in_row = 0;
--- a/src/health/service_ejection.cpp
+++ b/src/health/service_ejection.cpp
@@ -59,7 +59,7 @@
   if (v.state == standing::normal) {
     const double n = v.recent_bad + v.recent_good;
     const double share = n > 0 ? v.recent_bad / n : bad_share(v, now);
-    v.badness = failed_probes(v, now) >= 3 ? 2 : share + v.hard_share;
+    v.badness = failed_probes(v, now) >= 3 ? 2 : share + (v.has_hard_error ? 1 : 0);
     if (!make_room(v, floor, now)) {
       return false;
     }
@@ -68,16 +68,19 @@
   return true;
 }
 
-// Attempts by instance, with failed probes. Good probes count only against faults of connections:
+// Attempts by instance, with failed probes. Good probes count only against refused connections:
 // a health path that answers well says nothing about errors and latency of requests.
 std::vector<instance_counts> service_health::witnesses_of(const server& v,
                                                           base::time_point now) const {
   auto counts = counts_of(v, v.episode, now);
   std::erase_if(counts, [&](const auto& c) { return is_excluded(c.instance, v, now); });
+  const bool is_about_connections =
+      v.has_refused ||
+      std::ranges::any_of(v.probes, [](const auto& item) { return item.second.is_bad; });
   for (const auto& [instance, p] : v.probes) {
     const auto i = instances_.find(instance);
     if (i == instances_.end() || is_excluded(instance, v, now) ||
-        now - p.received > base::seconds(3) || (!p.is_bad && v.hard_share <= 0)) {
+        now - p.received > base::seconds(3) || (!p.is_bad && !is_about_connections)) {
       continue;
     }
     auto it = std::ranges::find(counts, instance, &instance_counts::instance);
@@ -197,7 +200,7 @@
 
 void service_health::eject(server& v, base::time_point now) {
   const bool by_latency = is_by_latency(v, now);
-  const bool is_hard = !by_latency && v.hard_share > 0;
+  const bool is_hard = !by_latency && v.has_hard_error;
   v.reason = by_latency ? "latency" : is_hard ? "hard_failure" : "error_rate";
   if (v.state == standing::probation || v.flaps > 0) {
     v.flaps = std::min(v.flaps + 1, greatest_flaps);
--- a/src/health/service_evidence.cpp
+++ b/src/health/service_evidence.cpp
@@ -40,6 +40,7 @@
 
 // Other servers above this part are left out of the comparison, at most a third of them.
 constexpr double left_out_part = 0.6;
+constexpr double clean_share = 0.05;
 
 // Requests that run together on a server meet the same pause of it and are not independent, so the
 // latency score gains at most this much in each interval: one pause of a second ejects no server.
@@ -154,7 +155,8 @@
     v.error_score = error_sum;
 
     v.return_score += errors + static_cast<double>(n) * good;
-    v.hard_share = r.hard_errors > 0 ? 1 : v.hard_share;
+    v.has_hard_error = v.has_hard_error || r.hard_errors > 0;
+    v.has_refused = v.has_refused || r.refused > 0;
   }
   for (const auto age : r.open) {
     const auto score = has_latency ? pool_.open_score(r.route, id, age) : 0;
@@ -267,8 +269,8 @@
 }
 
 // Log likelihood ratio of the server's recent attempts at their own bad share against the other
-// servers'. Up to a third of the others is left out, so that several bad servers do not hide
-// each other; when most are bad, the service is at fault and the ratio stays small.
+// servers'. Up to a third of the others is left out when the rest is clean, so that several bad
+// servers do not hide each other; otherwise the service is at fault and the ratio stays small.
 double service_health::contrast(const server& v, base::time_point now) const {
   std::vector<std::pair<double, const server*>> others;
   for (const auto& [id, other] : servers_) {
@@ -279,16 +281,24 @@
   }
   std::ranges::sort(others, {},
                     [](const auto& o) { return std::pair(o.first, o.second->up.info.id); });
-  for (std::size_t left = others.size() / 3; left > 0 && others.back().first > left_out_part;
-       --left) {
-    others.pop_back();
-  }
   double bad = 0;
   double good = 0;
-  for (const auto& [share, other] : others) {
+  for (const auto& [part, other] : others) {
     bad += other->recent_bad;
     good += other->recent_good;
   }
+  double rest_bad = bad;
+  double rest_good = good;
+  for (std::size_t left = others.size() / 3; left > 0 && others.back().first > left_out_part;
+       --left) {
+    rest_bad -= others.back().second->recent_bad;
+    rest_good -= others.back().second->recent_good;
+    others.pop_back();
+  }
+  if (rest_bad < clean_share * (rest_bad + rest_good)) {
+    bad = rest_bad;
+    good = rest_good;
+  }
   double open = 0;
   for (const auto& [instance, o] : v.open) {
     open += o.count;
--- a/src/health/service_health.cpp
+++ b/src/health/service_health.cpp
@@ -85,7 +85,8 @@
   v.latency_score = 0;
   v.probes.clear();
   v.has_bad_status = false;
-  v.hard_share = 0;
+  v.has_hard_error = false;
+  v.has_refused = false;
   v.is_last_bad = false;
   v.is_checking = false;
   v.open.clear();
@@ -366,7 +367,8 @@
 std::string service_health::describe(const server& v, base::time_point now) const {
   return "service=" + service_ + " error_score=" + number(v.error_score) +
          " latency_score=" + number(latency_total(v, now)) +
-         " probe_part=" + number(probe_part(v, now)) + " bad_share=" + number(bad_share(v, now)) +
+         " probe_part=" + number(probe_part(v, now)) + " contrast=" + number(contrast(v, now)) +
+         " bad_share=" + number(bad_share(v, now)) +
          " instances=" + std::to_string(v.windows.size()) + " flaps=" + std::to_string(v.flaps);
 }
 
