--- a/benchmark/balance_cost.cpp
+++ b/benchmark/balance_cost.cpp
@@ -50,6 +50,7 @@
 constexpr named_way ways[] = {
     {"slot shares", way::no_ejection, balance::selection::slot_share},
     {"slot shares + reports", way::no_ejection, balance::selection::slot_share_reported},
+    {"slot shares only", way::no_ejection, balance::selection::slot_share_only},
     {"two choices", way::no_ejection, balance::selection::two_choices},
     {"two choices + reports", way::no_ejection, balance::selection::two_choices_reported},
     {"round robin", way::round_robin, balance::selection::two_choices},
--- a/benchmark/support/fleet_simulation.h
+++ b/benchmark/support/fleet_simulation.h
@@ -276,6 +276,12 @@
       if (is_measured(r.arrived)) {
         result.latencies_ms.push_back(base::to_seconds(t - r.arrived) * 1000);
       }
+    } else if (e == health::attempt_end::shed && t - r.arrived < sc.queue_time &&
+               (how != way::round_robin && how != way::random)) {
+      // Certainly not run: waits for another turn, and the balancer knows that the server is full.
+      r.tried.pop_back();
+      --r.tries;
+      try_request(k, std::move(r), t);
     } else if (may_retry && r.tries <= sc.retries && t - r.arrived < sc.timeout) {
       try_request(k, std::move(r), t);
     } else if (is_measured(r.arrived)) {
--- a/include/kingcupshunt/balance/balancer.h
+++ b/include/kingcupshunt/balance/balancer.h
@@ -46,7 +46,8 @@
   two_choices,          ///< two random servers, the one with fewer requests of this instance
   two_choices_reported, ///< as above, with the other instances' requests from load reports
   slot_share,           ///< first the slots dealt to this instance, then two_choices
-  slot_share_reported   ///< first the slots dealt to this instance, then two_choices_reported
+  slot_share_reported,  ///< first the slots dealt to this instance, then two_choices_reported
+  slot_share_only       ///< only the slots dealt to this instance
 };
 
 /// Whether `way` deals the slots of every server to the instances.
--- a/src/balance/arrange.cpp
+++ b/src/balance/arrange.cpp
@@ -14,7 +14,8 @@
 } // namespace
 
 bool has_shares(selection way) noexcept {
-  return way == selection::slot_share || way == selection::slot_share_reported;
+  return way == selection::slot_share || way == selection::slot_share_reported ||
+         way == selection::slot_share_only;
 }
 
 // The subset is bounded so that a server is used by at most max_connections /
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -148,7 +148,8 @@
   if (chosen == nullptr && has_shares(settings_.way)) {
     chosen = pick_shared(*s, request, now);
   }
-  for (int tier = tier_normal; chosen == nullptr && tier < tier_never; ++tier) {
+  const int first_tier = settings_.way == selection::slot_share_only ? tier_weak : tier_normal;
+  for (int tier = first_tier; chosen == nullptr && tier < tier_never; ++tier) {
     chosen = pick_two(*s, request, now, tier);
   }
   if (chosen != nullptr) {
--- a/src/health/service_evidence.cpp
+++ b/src/health/service_evidence.cpp
@@ -380,6 +380,7 @@
                           const std::map<std::string, window_counts, std::less<>>& windows,
                           base::time_point now) const {
   std::vector<instance_counts> out;
+  out.reserve(windows.size() + v.open.size());
   for (const auto& [instance, w] : windows) {
     out.push_back({instance, w.data_centre, w.bad, w.good});
   }
