Keep a failing service apart from several failing servers

When a whole service fails 30 %, leaving out the worst third of the other servers made the rest look clean. They are left out only when the rest has hardly any bad attempt.

--- a/src/health/service_ejection.cpp
+++ b/src/health/service_ejection.cpp
@@ -48,8 +48,7 @@
       next_wide_report_ = now + base::seconds(10);
       decide(is_by_latency(v, now) ? "service.slow_everywhere" : "service.failing_everywhere",
              "service", service_, "no_ejection",
-             "contrast=" + number(contrast(v, now)) + " upstream=" + v.up.info.id + " " +
-                 describe(v, now));
+             "upstream=" + v.up.info.id + " " + describe(v, now));
     }
     return false;
   }
@@ -104,8 +103,14 @@
   for (const auto& [id, i] : instances_) {
     centres.insert(i.data_centre);
   }
+  // A single bad answer beside failed probes is no witness of what the probes met.
+  const bool is_by_probes = !v.has_refused && std::ranges::any_of(v.probes, [](const auto& item) {
+    return item.second.is_bad;
+  });
   for (const auto& c : counts) {
-    if (c.bad > witness_bad) {
+    const auto probe = v.probes.find(c.instance);
+    const bool has_failed_probe = probe != v.probes.end() && probe->second.is_bad;
+    if (c.bad > witness_bad && (!is_by_probes || has_failed_probe)) {
       ++bad;
       bad_centres.insert(c.data_centre);
     }
--- a/src/health/service_evidence.cpp
+++ b/src/health/service_evidence.cpp
@@ -40,7 +40,8 @@
 
 // Other servers above this part are left out of the comparison, at most a third of them.
 constexpr double left_out_part = 0.6;
-constexpr double clean_share = 0.05;
+constexpr double clean_share = 0.02;
+constexpr double clean_attempts = 2;
 
 // Requests that run together on a server meet the same pause of it and are not independent, so the
 // latency score gains at most this much in each interval: one pause of a second ejects no server.
@@ -295,7 +296,7 @@
     rest_good -= others.back().second->recent_good;
     others.pop_back();
   }
-  if (rest_bad < clean_share * (rest_bad + rest_good)) {
+  if (rest_bad < std::max(clean_attempts, clean_share * (rest_bad + rest_good))) {
     bad = rest_bad;
     good = rest_good;
   }
