Re-eject a server on probation with half the contrast

A server that flaps was held in probation although it refused again, since an ejection needs seven nats against the other servers. On probation 3.5 are enough, and the service is reported as bad only when most of its servers are.

--- a/src/health/service_ejection.cpp
+++ b/src/health/service_ejection.cpp
@@ -43,8 +43,9 @@
   if (is_waiting_for_witnesses(v, counts, now)) {
     return false;
   }
-  if (servers_.size() < 2 || contrast(v, now) < least_contrast) {
-    if (now >= next_wide_report_) {
+  const double needed = v.state == standing::probation ? least_contrast / 2 : least_contrast;
+  if (servers_.size() < 2 || contrast(v, now) < needed) {
+    if (now >= next_wide_report_ && is_service_wide(v, now)) {
       next_wide_report_ = now + base::seconds(10);
       decide(is_by_latency(v, now) ? "service.slow_everywhere" : "service.failing_everywhere",
              "service", service_, "no_ejection",
