--- a/src/health/reporter.cpp
+++ b/src/health/reporter.cpp
@@ -29,6 +29,8 @@
 constexpr double overdue_factor = 6;
 constexpr double mean_weight = 0.05;
 
+constexpr double max_weight = 10;
+
 constexpr std::size_t max_attempts_per_route = 500;
 constexpr std::size_t max_routes = 128;
 
@@ -165,7 +167,7 @@
   for (const auto& verdict : m.verdicts) {
     const auto ends =
         sent + base::shorten_by_drift(base::milliseconds(std::min(verdict.lifetime_ms, 60'000U)));
-    if (std::isfinite(verdict.badness) && std::isfinite(verdict.weight)) {
+    if (std::isfinite(verdict.badness) && verdict.weight >= 0 && verdict.weight <= max_weight) {
       s.verdicts[verdict.upstream] = {verdict, ends};
     }
   }
@@ -185,7 +187,9 @@
 
 void reporter::tick(base::time_point now) {
   for (auto& [name, s] : services_) {
-    apply(name, s, now);
+    if (!s.verdicts.empty() || !s.applied.empty()) {
+      apply(name, s, now);
+    }
     find_overdue(s, now);
     const bool is_busy = now - s.last_attempt < base::seconds(10) || !s.verdicts.empty();
     const auto interval = is_busy ? settings_.summary_interval : settings_.idle_interval;
