Bound the traffic of suspected and returning servers to one half

A suspected server weighs up to three normal ones while its suspicion is checked, so ten suspected servers of twenty drew all repeatable requests.

--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -19,6 +19,10 @@
   return way == selection::two_choices_reported || way == selection::slot_share_reported;
 }
 
+// Greatest share of traffic for suspected and returning servers together. Suspected ones may weigh
+// more than normal ones, so without it ten suspected servers of twenty would get all requests.
+constexpr double greatest_weak_share = 0.5;
+
 // Ranks of servers: all free servers of a rank are used before the next rank.
 constexpr int tier_normal = 0;
 constexpr int tier_weak = 1; ///< suspected, path fault, probation, slow start
@@ -168,12 +172,17 @@
 balancer::server* balancer::pick_weighted(service_servers& s, const pick_request& request,
                                           base::time_point now) {
   const auto n = static_cast<double>(s.servers.size());
+  double sum = 0;
+  for (const auto& v : s.servers) {
+    sum += tier_of(s, v, now) == tier_weak ? weight_of(s, v, now) / n : 0;
+  }
+  const double scale = sum > greatest_weak_share ? greatest_weak_share / sum : 1;
   double left = rng_.unit();
   for (auto& v : s.servers) {
     if (tier_of(s, v, now) != tier_weak) {
       continue;
     }
-    left -= weight_of(s, v, now) / n;
+    left -= scale * weight_of(s, v, now) / n;
     if (left < 0) {
       return can_take(v, request, now) ? &v : nullptr;
     }
--- a/tests/balance/balancer_test.cpp
+++ b/tests/balance/balancer_test.cpp
@@ -184,3 +184,21 @@
   }
   CHECK(covered.size() == 16);
 }
+
+// Guards against a service whose suspected servers draw all requests while healthy ones idle.
+TEST_CASE("suspected servers together get at most half of the traffic") {
+  auto b = make("i100", 15, servers(10, 3));
+  std::vector<health::server_status> states;
+  for (int i = 0; i < 5; ++i) {
+    states.push_back({"127.0.0.1:" + std::to_string(9000 + i), health::server_state::suspected, 3});
+  }
+  b.set_states("s", states, start);
+  int n = 0;
+  for (int i = 0; i < 4000; ++i) {
+    const auto id = b.pick({"s", "r", {}}, start).value();
+    n += id < "127.0.0.1:9005" ? 1 : 0;
+    b.release("s", id);
+  }
+  CHECK(n < 2200);
+  CHECK(n > 1800);
+}
