--- a/tests/standins/backend_server.cpp
+++ b/tests/standins/backend_server.cpp
@@ -58,8 +58,8 @@
 backend_server::backend_server(asio::io_context& io, backend_settings settings)
     : io_(io), settings_(std::move(settings)),
       acceptor_(io, {asio::ip::make_address(settings_.address), settings_.port}),
-      incarnation_(static_cast<std::uint64_t>(
-          std::chrono::system_clock::now().time_since_epoch() / milliseconds(1))) {
+      incarnation_(static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() /
+                                              milliseconds(1))) {
   settings_.port = acceptor_.local_endpoint().port();
 }
 
@@ -103,7 +103,8 @@
   while (is_kept) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(std::uint64_t{64} << 20U);
-    co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+    co_await http::async_read(stream, buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
       break;
     }
@@ -234,8 +235,8 @@
     co_return;
   }
   const tcp::endpoint to(ip, static_cast<std::uint16_t>(std::stoi(host.substr(colon + 1))));
-  http::request<http::string_body> req(http::verb::post,
-                                       path_at < url.size() ? url.substr(path_at) : "/announce", 11);
+  http::request<http::string_body> req(
+      http::verb::post, path_at < url.size() ? url.substr(path_at) : "/announce", 11);
   req.set(http::field::host, host);
   req.set(http::field::authorization, "Bearer " + settings_.secret);
   req.set(http::field::content_type, "application/json");
--- a/tests/standins/caller_main.cpp
+++ b/tests/standins/caller_main.cpp
@@ -59,7 +59,8 @@
 
 class caller {
 public:
-  caller(asio::io_context& io, caller_settings settings) : io_(io), settings_(std::move(settings)) {}
+  caller(asio::io_context& io, caller_settings settings)
+      : io_(io), settings_(std::move(settings)) {}
 
   asio::awaitable<void> run() {
     const auto start = clock_type::now();
@@ -70,9 +71,9 @@
       asio::co_spawn(io_, follow_addresses(), asio::detached);
     }
     for (std::uint64_t i = 0; i < total; ++i) {
-      timer.expires_at(start + std::chrono::duration_cast<clock_type::duration>(
-                                   std::chrono::duration<double>(
-                                       static_cast<double>(i) / settings_.rate)));
+      timer.expires_at(start +
+                       std::chrono::duration_cast<clock_type::duration>(
+                           std::chrono::duration<double>(static_cast<double>(i) / settings_.rate)));
       co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
       if (in_flight_ >= settings_.max_in_flight) {
         ++not_sent_;
@@ -93,7 +94,8 @@
       if (latencies_ms_.empty()) {
         return 0.0;
       }
-      const auto index = static_cast<std::size_t>(q * static_cast<double>(latencies_ms_.size() - 1));
+      const auto index =
+          static_cast<std::size_t>(q * static_cast<double>(latencies_ms_.size() - 1));
       return latencies_ms_[index];
     };
     return {{"answers", latencies_ms_.size()},
@@ -182,7 +184,8 @@
       ++by_reason_[std::string(reason)];
       ++by_ran_[std::string(res["X-Kingcupshunt-Ran"])];
     } else if (res.result_int() == 200) {
-      const bool is_own = res["X-Nonce"] == nonce && res.body().starts_with("nonce=" + nonce + "\n");
+      const bool is_own =
+          res["X-Nonce"] == nonce && res.body().starts_with("nonce=" + nonce + "\n");
       wrong_ += is_own ? 0 : 1;
     }
   }
