Tell a slow caller from a server that stops reading a body

A server that died within a streamed body was answered as caller_gone, and at the deadline it depended on timing whether a slow caller counted against the server.

--- a/src/proxy/entry_server.cpp
+++ b/src/proxy/entry_server.cpp
@@ -114,7 +114,7 @@
 /// A new socket's send buffer takes the short answer whole, so that nothing is waited for.
 void entry_server::impl::refuse_connection(tcp::socket& socket, const char* reason) {
   context->metrics.count_refusal(reason);
-  const refusal r{503, reason, "too many open connections", ran_state::no, base::seconds(1)};
+  const refusal r{503, reason, "too many open connections", ran_state::no, std::nullopt};
   const auto text = refusal_answer(r, context->next_request_id(), false, true);
   error_code ec;
   socket.non_blocking(true, ec);
--- a/src/proxy/request_answer.cpp
+++ b/src/proxy/request_answer.cpp
@@ -18,7 +18,7 @@
 bool request_run::must_close() const {
   const auto& parser = *caller_->parser;
   return caller_->is_closing || caller_->has_leftover || context_.is_stopping ||
-         !parser.is_done() || !parser.keep_alive();
+         !parser.is_done() || !parser.keep_alive() || !caller_->stream->buffered().empty();
 }
 
 base::time_point request_run::write_deadline() const {
--- a/src/proxy/request_body.cpp
+++ b/src/proxy/request_body.cpp
@@ -35,8 +35,10 @@
   std::string piece(relay_piece_bytes, '\0');
   bool is_last = false;
   while (!is_last && !must_stop_pump_) {
+    is_reading_body_ = true;
     const auto got =
         co_await read_body(*caller_->stream, *caller_->parser, piece.data(), piece.size());
+    is_reading_body_ = false;
     if (must_stop_pump_) {
       break;
     }
@@ -57,10 +59,21 @@
     }
   }
   is_pumping_ = false;
-  if (is_last) {
+  if (is_last && !must_stop_pump_) {
     start_watch(caller_);
   }
   wake_->notify();
 }
 
+/// Ends the pump of a body that no upstream takes any more.
+awaitable<void> request_run::stop_pump() {
+  must_stop_pump_ = true;
+  while (is_pumping_) {
+    error_code ignored;
+    caller_->stream->socket().cancel(ignored);
+    co_await wake_->wait_until(base::time_point::max());
+  }
+  co_return;
+}
+
 } // namespace kingcupshunt::proxy
--- a/src/proxy/request_run.cpp
+++ b/src/proxy/request_run.cpp
@@ -58,6 +58,7 @@
   } else {
     co_await try_upstreams();
   }
+  co_await stop_pump();
   co_await stop_watch(*caller_);
   if (is_admitted_) {
     context_.hook.finish(auth_);
--- a/src/proxy/request_run.h
+++ b/src/proxy/request_run.h
@@ -51,7 +51,7 @@
   void start_hedge();
   void start_checks(base::time_point now);
   exchange_ptr settle_finished();
-  exchange_ptr settle(attempt_pair pair);
+  exchange_ptr settle(const attempt_pair& pair);
   void cancel_all();
   base::time_point next_timer() const;
   void report(exchange& ex);
@@ -59,6 +59,7 @@
 
   // request_body.cpp: streamed request bodies.
   awaitable<void> pump_body(exchange_ptr to);
+  awaitable<void> stop_pump();
   std::optional<refusal> refusal_of_body(body_state state) const;
 
   // request_answer.cpp: what the caller gets.
@@ -101,6 +102,7 @@
 
   std::uint64_t body_bytes_ = 0;
   bool is_pumping_ = false;
+  bool is_reading_body_ = false; ///< the pump waits for the caller, not for the upstream
   bool must_stop_pump_ = false;
   std::optional<refusal> body_failure_;
 };
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -180,7 +180,7 @@
 }
 
 /// Ends one pair: its answer wins, is kept as fallback, or the failure may lead to a retry.
-request_run::exchange_ptr request_run::settle(attempt_pair pair) {
+request_run::exchange_ptr request_run::settle(const attempt_pair& pair) {
   exchange_ptr ended = pair.main;
   if (pair.check && pair.check->has_answer() && !pair.main->has_answer()) {
     // The new connection answers: the old one is dead, not the server.
@@ -201,8 +201,13 @@
     }
     ended->cancel();
   }
-  if (is_pumping_) {
-    return ended->has_answer() ? ended : (report(*ended), nullptr);
+  if (is_pumping_ && ended->has_answer()) {
+    return ended; // the body cannot be sent again, so that no other try can do better
+  }
+  if (is_pumping_ && is_reading_body_ && ended->end() == attempt_end::timed_out) {
+    // The deadline passed while the caller was sending: no evidence against the server.
+    ended->set_end(attempt_end::cancelled);
+    body_failure_ = refusal_of_body(body_state::timed_out);
   }
   report(*ended);
   if (ended->has_answer()) {
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -10,7 +10,7 @@
                                                   connection_need need, base::time_point now) {
   auto& e = entries_[upstream_id];
   while (need != connection_need::fresh && !e.idle.empty()) {
-    const auto newest = e.idle.back();
+    auto newest = e.idle.back();
     const bool is_too_old =
         need == connection_need::verified && now - newest->last_answer > settings_.verified_for;
     if (is_too_old) {
--- a/tests/proxy/entry_answers_test.cpp
+++ b/tests/proxy/entry_answers_test.cpp
@@ -238,6 +238,42 @@
   CHECK(c.is_closed_by_peer());
 }
 
+TEST_CASE("a server that dies within a streamed body is a refusal with its true reason") {
+  backend b([](backend& self, wire& c, int) {
+    self.note(c.read_head());
+    c.reset();
+  });
+  fixture f({b.id()});
+  f.start();
+  wire c(f.port());
+  c.send("POST /a HTTP/1.1\r\nHost: shop\r\nContent-Length: 10000000\r\n\r\nabc");
+  const auto a = c.read_answer(); // the caller has not sent its whole body yet
+  CHECK(a.field("x-kingcupshunt-reason") == "upstream_closed");
+  CHECK(a.field("x-kingcupshunt-ran") == "unknown");
+}
+
+TEST_CASE("a server that stops reading a streamed body has timed out") {
+  std::atomic<bool> may_end{false};
+  backend b([&](backend& self, wire& c, int) {
+    self.note(c.read_head());
+    may_end.wait(false);
+  });
+  fixture f({b.id()});
+  f.service.timeout = base::milliseconds(300);
+  f.start();
+  wire c(f.port());
+  std::thread sender([&] {
+    c.send("POST /a HTTP/1.1\r\nHost: shop\r\nContent-Length: 50000000\r\n\r\n");
+    c.send(std::string(50'000'000, 'x'));
+  });
+  REQUIRE(eventually([&] { return f.log().reports.size() == 1; }));
+  CHECK(f.log().reports[0].end == attempt_end::timed_out);
+  c.close();
+  sender.join();
+  may_end = true;
+  may_end.notify_all();
+}
+
 TEST_CASE("a connection refused by the upstream is a refusal that did not run") {
   std::string dead;
   {
