--- a/src/proxy/timed_socket.cpp
+++ b/src/proxy/timed_socket.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
+
+#include <sys/socket.h>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -127,18 +130,20 @@
 
 error_code timed_socket::discard_available(std::size_t& n) {
   std::array<char, 4096> bytes{};
-  error_code ec;
-  socket_.non_blocking(true, ec);
-  n = socket_.receive(asio::buffer(bytes), 0, ec);
-  return ec;
+  const auto got = ::recv(socket_.native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+  n = got > 0 ? static_cast<std::size_t>(got) : 0;
+  if (got > 0) {
+    return {};
+  }
+  const bool is_empty = got < 0 && (errno == EAGAIN || errno == EINTR);
+  return is_empty ? asio::error::make_error_code(asio::error::would_block)
+                  : asio::error::make_error_code(asio::error::eof);
 }
 
 bool timed_socket::has_pending_input() {
   char byte = 0;
-  error_code ec;
-  socket_.non_blocking(true, ec);
-  socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-  return ec != asio::error::would_block;
+  const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got >= 0 || errno != EAGAIN;
 }
 
 } // namespace kingcupshunt::proxy
--- a/src/proxy/timed_socket.h
+++ b/src/proxy/timed_socket.h
@@ -57,7 +57,8 @@
   /// Waits until bytes or the end of the stream can be read.
   awaitable<error_code> wait_readable();
 
-  /// Reads up to 4 KiB without waiting and drops it. Returns would_block when nothing is there.
+  /// Reads up to 4 KiB without waiting and drops it. Returns would_block when nothing is there
+  /// and eof when the connection has ended.
   error_code discard_available(std::size_t& n);
 
   /// True when the peer has closed the connection or has sent something. Reads nothing.
