Release an order's key when its caller leaves before the first byte

A cancel between the start and the completion of a write took the request for one of which nothing was sent, so that a refusal could have said "not run" wrongly; the request now counts as sent before the write starts. An order of which nothing was sent is given up and released when its caller leaves.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -142,8 +142,11 @@
   const auto left = request_->deadline - base::clock::now();
   stream->reset_written();
   const auto deadline = deadline_field(base::to_ms(left));
+  // Set before the write: a cancel that comes before the write's completion is handled must not
+  // take the request for one of which nothing was sent.
+  const bool was_sent_before = std::exchange(was_sent_, true);
   const auto ec = co_await stream->write(request_->head, deadline, request_->body);
-  was_sent_ = was_sent_ || stream->written() > 0;
+  was_sent_ = was_sent_before || stream->written() > 0;
   sent_at_ = base::clock::now();
   if (ec && !is_cancelled_ && stream->written() == 0) {
     end_ = was_reused_ ? attempt_end::stale_connection : attempt_end::closed_unanswered;
--- a/src/proxy/request_run.h
+++ b/src/proxy/request_run.h
@@ -46,6 +46,7 @@
 
   // request_tries.cpp: tries, retries, hedging.
   awaitable<exchange_ptr> find_answer();
+  bool was_sent() const;
   bool start_try();
   bool start_retry(const health::attempt& last);
   void start_hedge();
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -55,7 +55,8 @@
     }
   }
   for (;;) {
-    const bool is_abandoned = caller_->is_cut || (caller_->is_gone && !reservation_);
+    const bool must_go_on = reservation_ && was_sent();
+    const bool is_abandoned = caller_->is_cut || (caller_->is_gone && !must_go_on);
     if (body_failure_ || is_abandoned) {
       cancel_all();
       co_return nullptr;
@@ -76,6 +77,13 @@
   }
 }
 
+/// Bytes of the request have left on any try.
+bool request_run::was_sent() const {
+  return may_have_run_ || std::any_of(live_.begin(), live_.end(), [](const attempt_pair& pair) {
+           return pair.main->was_sent();
+         });
+}
+
 bool request_run::start_try() {
   for (; tries_ < context_.settings.max_tries; ++tries_) {
     auto picked = context_.hook.pick(auth_, fingerprint_, tried_);
--- a/tests/proxy/entry_answers_test.cpp
+++ b/tests/proxy/entry_answers_test.cpp
@@ -147,8 +147,14 @@
 }
 
 TEST_CASE("Connection: close of an upstream is obeyed and not passed on") {
-  backend b(once("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\na"));
+  // The connection stays open: a second request on it would wait forever.
+  backend b([](backend& self, wire& c, int) {
+    self.read_request(c);
+    c.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\na");
+    c.is_closed_by_peer();
+  });
   fixture f({b.id()});
+  f.settings.silence_after = base::seconds(60);
   f.start();
   wire c(f.port());
   for (int i = 0; i < 2; ++i) {
@@ -221,7 +227,11 @@
 }
 
 TEST_CASE("an answer that comes before the body's end is passed on, the connections are closed") {
-  backend b([](backend& self, wire& c, int) {
+  backend b([](backend& self, wire& c, int n) {
+    if (n > 0) {
+      always(ok_answer())(self, c, n);
+      return;
+    }
     self.note(c.read_head());
     c.send("HTTP/1.1 403 Forbidden\r\nContent-Length: 2\r\n\r\nno");
     c.read_exactly(10'000'000);
@@ -236,6 +246,7 @@
   CHECK(a.body == "no");
   CHECK(a.field("connection") == "close");
   CHECK(c.is_closed_by_peer());
+  CHECK(f.get().status == 200); // a new request is not taken for the rest of the body
 }
 
 TEST_CASE("a server that dies within a streamed body is a refusal with its true reason") {
--- a/tests/proxy/entry_requests_test.cpp
+++ b/tests/proxy/entry_requests_test.cpp
@@ -256,6 +256,8 @@
     const auto a = slow_body.read_answer();
     CHECK(a.status == 408);
     CHECK(a.field("x-kingcupshunt-reason") == "body_timeout");
+    // The streamed one had begun to go out.
+    CHECK(a.field("x-kingcupshunt-ran") == (std::string(length) == "50" ? "no" : "unknown"));
   }
   // A slow caller is no evidence against the server.
   for (const auto& r : f.log().reports) {
--- a/tests/proxy/reservations_test.cpp
+++ b/tests/proxy/reservations_test.cpp
@@ -189,6 +189,32 @@
   CHECK(f.log().released == 0);
 }
 
+TEST_CASE("an order whose caller leaves before its first byte went out releases its key") {
+  // A listener whose queue is full lets further connections wait.
+  boost::asio::io_context io;
+  tcp::acceptor full(io);
+  full.open(tcp::v4());
+  full.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+  full.listen(0);
+  std::vector<tcp::socket> fillers;
+  for (int i = 0; i < 3; ++i) {
+    fillers.emplace_back(io, tcp::v4());
+    fillers.back().native_non_blocking(true);
+    const auto to = full.local_endpoint();
+    ::connect(fillers.back().native_handle(), to.data(), static_cast<socklen_t>(to.size()));
+  }
+  orders f({"127.0.0.1:" + std::to_string(full.local_endpoint().port())});
+  f.settings.connect_timeout = base::seconds(60);
+  f.service.timeout = base::seconds(60);
+  f.start();
+  wire c(f.port());
+  c.send(order());
+  REQUIRE(eventually([&] { return f.log().reserved == 1; }));
+  c.close();
+  CHECK(eventually([&] { return f.log().released == 1; }));
+  CHECK(f.log().completed.empty());
+}
+
 TEST_CASE("an order that was sent is finished and stored although its caller left") {
   std::atomic<bool> may_answer{false};
   backend b([&](backend& self, wire& c, int) {
