--- a/benchmark/rates_table.cpp
+++ b/benchmark/rates_table.cpp
@@ -145,11 +145,17 @@
       while (fleet.instances()[owner].owner->find_bucket("w0") == nullptr) {
         ++owner;
       }
-      fleet.kill(owner);
-      fleet.at(fleet.now() + base::seconds(1), [&fleet, owner] {
+      const auto change = [&fleet, owner] {
         fleet.change_view(owner, false,
                           [&fleet] { return base::from_seconds(0.2 * fleet.rng().unit()); });
-      });
+      };
+      if (s.kills_owner) {
+        fleet.kill(owner);
+        fleet.at(fleet.now() + base::seconds(1), change);
+      } else {
+        change();
+        fleet.at(fleet.now() + base::seconds(1), [&fleet, owner] { fleet.kill(owner); });
+      }
     });
   }
   fleet.run_until(at_seconds(warm_up + measured + 1));
