--- a/include/kingcupshunt/admission/fair_queue.h
+++ b/include/kingcupshunt/admission/fair_queue.h
@@ -93,6 +93,9 @@
   using tenant_map = std::map<std::string, tenant, std::less<>>;
   struct lane {
     double virtual_time = 0;
+    double speed = 0; ///< measured virtual time per second while requests wait, 0 when not known
+    double measured_from = 0; ///< virtual time at the start of the measurement in progress
+    std::optional<base::time_point> measured_since;
     std::size_t waiting = 0;
     tenant_map tenants; ///< those with requests or with a start tag ahead of the virtual time
   };
@@ -108,6 +111,8 @@
   std::optional<std::size_t> choose_lane();
   void run_next(lane& l);
   static void forget_idle(lane& l);
+  void charge(std::string_view workspace, lane& l, double seconds);
+  static void measure(lane& l, base::time_point now);
   void run_completions();
 
   fair_queue_settings settings_;
@@ -119,6 +124,7 @@
   double limit_ = 0;
   base::time_point last_shed_{};
   double mean_run_seconds_ = 0;
+  std::map<std::string, double, std::less<>> workspace_means_; ///< of run times, in seconds
   std::uint64_t finished_ = 0;
   std::uint32_t turns_ = 0;
   ticket next_ticket_ = 0;
--- a/include/kingcupshunt/admission/retry_budget.h
+++ b/include/kingcupshunt/admission/retry_budget.h
@@ -12,12 +12,13 @@
 namespace kingcupshunt::admission {
 
 struct retry_budget_settings {
-  double share = 0.1;                 ///< further tries for each recent success
-  double workspace_per_second = 0.5;  ///< further tries a workspace may always have
-  double instance_per_second = 5;     ///< further tries an instance may always have
-  double seconds_kept = 5;            ///< the constant part is saved up for this long
-  double workspace_cap = 50;          ///< most further tries saved up by a workspace
-  double instance_cap = 500;          ///< most further tries saved up by the instance
+  double share = 0.1;                ///< further tries for each recent success
+  double workspace_per_second = 0.5; ///< further tries a workspace may always have
+  double instance_per_second = 5;    ///< further tries an instance may always have
+  double seconds_kept = 5;           ///< the constant part is saved up for this long
+  /// Time constant with which saved tries of past successes fade. A fixed cap would let an instance
+  /// with few requests save up minutes of them and treble its load in a failure.
+  base::seconds recent{10};
   std::size_t max_workspaces = 20000; ///< idle ones are dropped beyond this
 };
 
@@ -41,13 +42,16 @@
 
 private:
   struct account {
-    double tokens = 0;
+    double earned = 0;   ///< by successes
+    double constant = 0; ///< by time
     base::time_point at{};
+    double total() const noexcept { return earned + constant; }
+    void take();
   };
 
   account& find_or_make(std::string_view workspace, base::time_point now);
   void drop_idle(base::time_point now);
-  static void accrue(account& a, double per_second, double cap, base::time_point now);
+  void accrue(account& a, double per_second, base::time_point now) const;
 
   retry_budget_settings settings_;
   account instance_;
--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -9,6 +9,9 @@
 
 // Weight of one run time in the running mean.
 constexpr double mean_weight = 0.05;
+// The speed of the virtual time is measured over this time, and averaged with this weight.
+constexpr base::milliseconds measure_interval{50};
+constexpr double speed_weight = 0.3;
 // Before so many finished requests the mean is not used to refuse.
 constexpr std::uint64_t min_finished = 20;
 // The limit falls by this factor when upstreams shed, at most once in the interval.
@@ -17,6 +20,8 @@
 // Bounds of the charge for one request, in mean run times.
 constexpr double min_charge = 0.1;
 constexpr double max_charge = 10.0;
+// Workspaces whose mean run time is kept.
+constexpr std::size_t max_means = 1024;
 constexpr base::seconds decision_interval{1};
 
 std::size_t lane_of(config::request_class priority) {
@@ -138,7 +143,36 @@
     return {};
   }
   const auto turns = static_cast<double>(running_ + ahead + 1 - most);
-  return base::from_seconds(turns * mean_run_seconds_ / static_cast<double>(most));
+  double seconds = turns * mean_run_seconds_ / static_cast<double>(most);
+  // Requests of other workspaces that are still to come go ahead of a workspace's long queue. How
+  // fast the virtual time runs tells how much.
+  const auto& l = lanes_[lane_index];
+  const auto own = l.tenants.find(request.workspace);
+  if (l.speed > 0 && own != l.tenants.end()) {
+    const double tag = own->second.start_tag + static_cast<double>(own->second.requests.size()) /
+                                                   usable_weight(request.weight);
+    seconds = std::max(seconds, std::min((tag - l.virtual_time) / l.speed, 3600.0));
+  }
+  return base::from_seconds(seconds);
+}
+
+void fair_queue::measure(lane& l, base::time_point now) {
+  if (l.waiting == 0) {
+    l.measured_since.reset();
+    return;
+  }
+  if (!l.measured_since) {
+    l.measured_since = now;
+    l.measured_from = l.virtual_time;
+    return;
+  }
+  const auto elapsed = now - *l.measured_since;
+  if (elapsed >= measure_interval) {
+    const double speed = (l.virtual_time - l.measured_from) / base::to_seconds(elapsed);
+    l.speed = l.speed > 0 ? l.speed + speed_weight * (speed - l.speed) : speed;
+    l.measured_since = now;
+    l.measured_from = l.virtual_time;
+  }
 }
 
 bool fair_queue::make_room(const queued_request& request, std::size_t lane_index) {
@@ -213,6 +247,13 @@
     }
     run_next(lanes_[*index]);
   }
+  for (auto& l : lanes_) {
+    measure(l, now);
+    if (waiting_ == 0 && running_ < limit()) {
+      // A free turn ends the busy period; what was used before it gives nobody a disadvantage.
+      l.tenants.clear();
+    }
+  }
   run_completions();
 }
 
@@ -244,7 +285,10 @@
   next->requests.pop_front();
   --l.waiting;
   --waiting_;
-  if (request.deadline <= now_) {
+  // While others wait, a turn is not given to a request that would end after its deadline.
+  const bool is_late = waiting_ > 0 && finished_ >= min_finished &&
+                       now_ + base::from_seconds(mean_run_seconds_) > request.deadline;
+  if (request.deadline <= now_ || is_late) {
     refuse(std::move(request.done), {}, "queue_deadline", std::nullopt);
     return;
   }
@@ -277,16 +321,28 @@
   return false;
 }
 
+void fair_queue::charge(std::string_view workspace, lane& l, double seconds) {
+  auto it = workspace_means_.find(workspace);
+  if (it == workspace_means_.end()) {
+    if (workspace_means_.size() >= max_means) {
+      workspace_means_.clear();
+    }
+    it = workspace_means_.emplace(std::string(workspace), seconds).first;
+  }
+  it->second += mean_weight * (seconds - it->second);
+  const auto t = l.tenants.find(workspace);
+  if (t != l.tenants.end() && mean_run_seconds_ > 0 && finished_ >= min_finished) {
+    const double cost = std::clamp(it->second / mean_run_seconds_, min_charge, max_charge);
+    t->second.start_tag += (cost - 1.0) / t->second.weight;
+  }
+}
+
 void fair_queue::finish(std::string_view workspace, config::request_class priority,
                         base::duration run_time, base::time_point now) {
   running_ -= running_ > 0 ? 1 : 0;
   const double seconds = std::max(base::to_seconds(run_time), 0.0);
   auto& l = lanes_[lane_of(priority)];
-  const auto it = l.tenants.find(workspace);
-  if (it != l.tenants.end() && mean_run_seconds_ > 0 && finished_ >= min_finished) {
-    const double charge = std::clamp(seconds / mean_run_seconds_, min_charge, max_charge) - 1.0;
-    it->second.start_tag += charge / it->second.weight;
-  }
+  charge(workspace, l, seconds);
   mean_run_seconds_ =
       finished_ == 0 ? seconds : mean_run_seconds_ + mean_weight * (seconds - mean_run_seconds_);
   ++finished_;
