--- a/tests/admission/crash_fleet.h
+++ b/tests/admission/crash_fleet.h
@@ -47,6 +47,7 @@
     view_ = v;
   }
 
+  std::function<void()> on_crash;
   int servers_lost = 0;
   int innocent_done = 0;
   int innocent_refused = 0;
@@ -271,6 +272,9 @@
       return;
     }
     ++servers_lost;
+    if (on_crash) {
+      on_crash();
+    }
     sv.is_alive = false;
     for (const auto& r : std::exchange(sv.running, {})) {
       at(random(milliseconds(5)), [=, this] {
--- a/tests/admission/crash_suspects_test.cpp
+++ b/tests/admission/crash_suspects_test.cpp
@@ -28,9 +28,16 @@
     fleet.at(after, [&fleet, i, run_time] { fleet.call(1000 + i, run_time, 5000); });
   }
   fleet.at(milliseconds(rng.below(2000)), [&fleet] { fleet.call(crash_fleet::poison, {}, 8); });
-  if (has_kill) {
-    const auto victim = rng.below(2) == 0 ? rng.below(o.instances) : fleet.coordinator_of_poison();
+  if (has_kill && rng.below(4) == 0) {
+    const auto victim = rng.below(o.instances);
     fleet.at(milliseconds(rng.below(6000)), [&fleet, victim] { fleet.kill(victim); });
+  } else if (has_kill) {
+    // While the second run is prepared or under way.
+    fleet.on_crash = [&fleet, after = milliseconds(rng.below(1500)), is_first = true]() mutable {
+      if (std::exchange(is_first, false)) {
+        fleet.at(after, [&fleet] { fleet.kill(fleet.coordinator_of_poison()); });
+      }
+    };
   }
   fleet.run(base::seconds(60));
   INFO("seed " << seed << " instances " << o.instances << " servers " << o.servers);
