--- a/tests/admission/crash_fleet.h
+++ b/tests/admission/crash_fleet.h
@@ -83,6 +83,17 @@
     submit(i, fingerprint, run_time, tries_left);
   }
 
+  /// Innocent fingerprints that some instance still suspects.
+  std::size_t suspected_innocents() const {
+    std::size_t n = 0;
+    for (const auto& i : instances_) {
+      for (const auto fingerprint : i.core->table().active()) {
+        n += fingerprint != poison ? 1 : 0;
+      }
+    }
+    return n;
+  }
+
   std::size_t coordinator_of_poison() const {
     return base::rendezvous_pick(std::to_string(poison), view_.active_ids());
   }
--- a/tests/admission/crash_suspects_test.cpp
+++ b/tests/admission/crash_suspects_test.cpp
@@ -47,6 +47,7 @@
   CHECK(fleet.innocent_refused == 0);
   if (!has_kill) {
     CHECK(fleet.innocent_done == innocents);
+    CHECK(fleet.suspected_innocents() == 0);
   }
   RC_ASSERT(fleet.servers_lost <= 2);
 }
@@ -127,3 +128,70 @@
   CHECK(core.table().crashes(5) == 1);
   CHECK(!core.begin(5, "s2", start + milliseconds(300)));
 }
+
+namespace {
+
+struct core_run {
+  std::vector<std::pair<std::string, admission::suspects_message>> sent;
+  admission::crash_suspects core;
+
+  core_run()
+      : core(settings(), {[this](auto to, auto, const auto& body) {
+                            sent.emplace_back(std::string(to),
+                                              *peer::unpack<admission::suspects_message>(body));
+                          },
+                          [](auto) { return std::optional<std::string>("s9"); },
+                          {},
+                          {},
+                          {}}) {}
+
+  static admission::crash_suspects_settings settings() {
+    admission::crash_suspects_settings s;
+    s.self = "i0";
+    return s;
+  }
+
+  void receive(const admission::suspects_message& m, base::time_point now) {
+    core.receive("i1", peer::message_kind::crash_suspects, peer::pack(m), now);
+  }
+};
+
+} // namespace
+
+// Guards against other requests at a server that carries a suspect, and against late repetitions
+// of a note that keep a server out of use.
+TEST_CASE("a server that carries a suspect is avoided until the newest note says otherwise") {
+  core_run run;
+  const admission::suspects_message note{{}, {{7, "s1", 5}}, {}, false};
+  run.receive(note, start);
+  CHECK(run.core.is_carrier("s1"));
+  CHECK(!run.core.begin(8, "s1", start));
+  run.receive({{}, {{7, "", 6}}, {}, false}, start);
+  CHECK(!run.core.is_carrier("s1"));
+  run.receive(note, start + milliseconds(100));
+  CHECK(run.core.begin(8, "s1", start + milliseconds(100)));
+}
+
+// Guards against an instance that starts without knowing the suspects, and against blaming nobody
+// when an instance dies together with the server that ran its suspect.
+TEST_CASE("a new instance learns the suspects and the loss of a carrier's instance is blamed") {
+  core_run run;
+  run.core.set_view({1, {{"i0", "", "", "", true}, {"i1", "", "", "", true}}}, start);
+  REQUIRE(run.sent.size() == 1);
+  CHECK(run.sent[0].second.wants_all);
+  run.receive({{{7, {1}, {}}}, {{7, "s1", 5}}, {}, false}, start);
+  run.sent.clear();
+  run.receive({{}, {}, {}, true}, start);
+  REQUIRE(run.sent.size() == 1);
+  CHECK(run.sent[0].second.records.size() == 1);
+  run.core.server_died("s1", 44, start);
+  CHECK(run.core.table().crashes(7) == 1);
+  run.core.set_view({2, {{"i0", "", "", "", true}, {"i1", "", "", "", false}}}, start);
+  CHECK(run.core.table().is_refused(7));
+  bool is_refused = false;
+  run.core.admit(7, start, start + base::seconds(1), [&](const auto& d) {
+    is_refused = !d && d.error().reason == "crash_suspect" && d.error().retry_after.has_value() &&
+                 d.error().ran == proxy::ran_state::no;
+  });
+  CHECK(is_refused);
+}
