--- a/tests/proxy/entry_answers_test.cpp
+++ b/tests/proxy/entry_answers_test.cpp
@@ -151,7 +151,7 @@
   backend b([](backend& self, wire& c, int) {
     self.read_request(c);
     c.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\na");
-    c.is_closed_by_peer();
+    c.read_exactly(1'000'000);
   });
   fixture f({b.id()});
   f.settings.silence_after = base::seconds(60);
@@ -236,7 +236,7 @@
     c.send("HTTP/1.1 403 Forbidden\r\nContent-Length: 2\r\n\r\nno");
     c.read_exactly(10'000'000);
   });
-  fixture f({b.id()});
+  fixture f({b.id()}, [](entry_settings& s) { s.silence_after = base::seconds(60); });
   f.start();
   wire c(f.port());
   c.send("POST /a HTTP/1.1\r\nHost: shop\r\nContent-Length: 10000000\r\n\r\n" +
