--- a/tests/proxy/entry_requests_test.cpp
+++ b/tests/proxy/entry_requests_test.cpp
@@ -300,7 +300,7 @@
 }
 
 TEST_CASE("a refusal reaches a caller that is still sending its body") {
-  fixture f;
+  fixture f({}, [](entry_settings& s) { s.drain_timeout = base::seconds(30); });
   f.decisions.authorize = [](const auto&) -> decided<authorized_request> {
     return refusal{401, "unknown_key", "", ran_state::no, std::nullopt};
   };
@@ -315,6 +315,29 @@
   CHECK(f.counter("kingcupshunt_refusals_total{reason=\"unknown_key\"}") == 1);
 }
 
+TEST_CASE("the rest of a refused body is taken, so that no reset destroys the answer") {
+  fixture f({}, [](entry_settings& s) { s.drain_timeout = base::seconds(30); });
+  f.decisions.authorize = [](const auto&) -> decided<authorized_request> {
+    return refusal{401, "unknown_key", "", ran_state::no, std::nullopt};
+  };
+  f.start();
+  boost::asio::io_context io;
+  tcp::socket c(io);
+  c.connect({boost::asio::ip::make_address("127.0.0.1"), f.port()});
+  const std::string head = "POST /a HTTP/1.1\r\nHost: shop\r\nContent-Length: 100000\r\n\r\n";
+  c.send(boost::asio::buffer(head));
+  std::string answer(4, '\0');
+  c.receive(boost::asio::buffer(answer));
+  // A connection closed at once would answer the first piece with a reset.
+  bool is_taken = true;
+  const std::string piece(10'000, 'x');
+  for (int i = 0; i < 10; ++i) {
+    is_taken = is_taken && ::send(c.native_handle(), piece.data(), piece.size(), MSG_NOSIGNAL) > 0;
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+  CHECK(is_taken);
+}
+
 TEST_CASE("local paths are answered without key and admission") {
   fixture f;
   f.start();
