--- a/tests/proxy/reservations_test.cpp
+++ b/tests/proxy/reservations_test.cpp
@@ -150,6 +150,23 @@
   CHECK(b.connections() == 0);
 }
 
+TEST_CASE("a grant that comes together with the deadline is given up") {
+  backend b(always(ok_answer()));
+  orders f({b.id()});
+  f.service.timeout = base::milliseconds(30);
+  f.decisions.reserve = [](const auto&, const auto&, auto, const auto& done) {
+    // The event loop is late: grant and deadline are seen in the same turn.
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    done(reservation{7, std::nullopt});
+  };
+  f.start();
+  const auto a = f.ask();
+  CHECK(a.status == 504);
+  CHECK(a.field("x-kingcupshunt-ran") == "no");
+  CHECK(f.log().released == 1);
+  CHECK(b.connections() == 0);
+}
+
 TEST_CASE("an order that was sent is never sent again, and its outcome stays open") {
   backend first([](backend& self, wire& c, int) { self.read_request(c); });
   backend second(always(ok_answer()));
