--- a/tests/proxy/reservations_test.cpp
+++ b/tests/proxy/reservations_test.cpp
@@ -75,6 +75,17 @@
   CHECK(f.log().reserved == 0);
 }
 
+TEST_CASE("trailers of an order do not become headers") {
+  backend b(always(ok_answer()));
+  orders f({b.id()});
+  f.start();
+  CHECK(f.ask("POST /a HTTP/1.1\r\nHost: shop\r\nIdempotency-Key: k\r\nTransfer-Encoding: "
+              "chunked\r\n\r\n4\r\nlens\r\n0\r\nX-Role: admin\r\n\r\n")
+            .status == 200);
+  CHECK(b.received().find("X-Role") == std::string::npos);
+  CHECK(b.received().ends_with("\r\n\r\nlens"));
+}
+
 TEST_CASE("a resend gets the stored answer") {
   backend b(always(ok_answer()));
   orders f({b.id()});
@@ -139,6 +150,23 @@
   CHECK(b.connections() == 0);
 }
 
+TEST_CASE("a grant that comes together with the deadline is given up") {
+  backend b(always(ok_answer()));
+  orders f({b.id()});
+  f.service.timeout = base::milliseconds(30);
+  f.decisions.reserve = [](const auto&, const auto&, auto, const auto& done) {
+    // The event loop is late: grant and deadline are seen in the same turn.
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    done(reservation{7, std::nullopt});
+  };
+  f.start();
+  const auto a = f.ask();
+  CHECK(a.status == 504);
+  CHECK(a.field("x-kingcupshunt-ran") == "no");
+  CHECK(f.log().released == 1);
+  CHECK(b.connections() == 0);
+}
+
 TEST_CASE("an order that was sent is never sent again, and its outcome stays open") {
   backend first([](backend& self, wire& c, int) { self.read_request(c); });
   backend second(always(ok_answer()));
