Hold suspects of crashes apart and tell the truth about idempotency keys

Cause: crash_suspects was not asked by the entry; a request was refused when all servers were full for a moment; refusals of non-repeatable requests said "not run" before the reservation table had been asked about earlier attempts. Change: hooks plan_try, settle_try and abandon_try; a retry and a failure wait until the cut connection is judged; the first try waits for a free server until the deadline; such refusals say ran=unknown until the key is reserved.

--- a/include/kingcupshunt/proxy/hooks.h
+++ b/include/kingcupshunt/proxy/hooks.h
@@ -56,6 +56,19 @@
                                          const std::vector<std::string>& tried)>
       pick;
 
+  /// Asks whether the next try may be made; `done` is called at once unless the request is
+  /// suspected of crashing servers. After success `pick` follows, or `abandon_try`. May be empty.
+  std::function<void(const authorized_request&, std::uint64_t fingerprint,
+                     std::function<void(decided<void>)> done)>
+      plan_try;
+
+  /// Gives up a try that `plan_try` allowed and `pick` was not asked for. May be empty.
+  std::function<void(std::uint64_t fingerprint)> abandon_try;
+
+  /// Called after `report`. `done` is called when the caller may be answered or the request be
+  /// tried again: at once unless the connection was cut. May be empty.
+  std::function<void(const health::attempt&, std::function<void()> done)> settle_try;
+
   /// Tells how a try ended and gives its slot back.
   std::function<void(const authorized_request&, const health::attempt&)> report;
 
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -279,8 +279,4 @@
                   });
 }
 
-std::optional<std::string> traffic::pick_idle(std::uint64_t) {
-  return std::nullopt;
-}
-
 } // namespace kingcupshunt::node
--- a/src/node/traffic.h
+++ b/src/node/traffic.h
@@ -65,7 +65,6 @@
   void start_probe(std::string_view service, std::string_view upstream);
   void check_death(const health::attempt& a);
   std::uint64_t incident_of(std::string_view service, std::string_view upstream) const;
-  std::optional<std::string> pick_idle(std::uint64_t fingerprint);
 
   // traffic_hooks.cpp
   proxy::decided<proxy::authorized_request> authorize(const proxy::request_head& head);
@@ -74,6 +73,13 @@
   void enter_queue(const proxy::authorized_request& request,
                    std::function<void(proxy::decided<void>)> done);
   void finish(const proxy::authorized_request& request);
+  void plan_try(const proxy::authorized_request& request, std::uint64_t fingerprint,
+                std::function<void(proxy::decided<void>)> done);
+  std::optional<std::string> pick_idle(std::uint64_t fingerprint);
+  balance::result<std::string> pick_usual(const proxy::authorized_request& request,
+                                          std::vector<std::string> tried, base::time_point now);
+  balance::result<std::string> pick_isolated(const proxy::authorized_request& request,
+                                             const std::string& server, base::time_point now);
   proxy::decided<proxy::upstream_target> pick(const proxy::authorized_request& request,
                                               std::uint64_t fingerprint,
                                               const std::vector<std::string>& tried);
@@ -101,7 +107,9 @@
   std::map<std::string, std::unique_ptr<admission::fair_queue>, std::less<>> queues_;
   std::map<std::string, std::size_t, std::less<>> slots_; ///< announced and usable, by service
   std::map<std::string, std::string, std::less<>> faulty_services_; ///< evidence, by service
-  std::map<std::string, base::time_point, std::less<>> checking_;   ///< servers under a death check
+  std::map<std::uint64_t, std::string> service_of_suspect_; ///< by fingerprint, while admitted
+  std::map<std::uint64_t, std::string> isolated_at_;        ///< by fingerprint, until picked
+  std::map<std::string, base::time_point, std::less<>> checking_; ///< servers under a death check
 };
 
 } // namespace kingcupshunt::node
--- a/src/node/traffic_hooks.cpp
+++ b/src/node/traffic_hooks.cpp
@@ -86,6 +86,17 @@
                     const std::vector<std::string>& tried) {
     return pick(request, fingerprint, tried);
   };
+  out.plan_try = [this](const proxy::authorized_request& request, std::uint64_t fingerprint,
+                        std::function<void(proxy::decided<void>)> done) {
+    plan_try(request, fingerprint, std::move(done));
+  };
+  out.abandon_try = [this](std::uint64_t fingerprint) {
+    isolated_at_.erase(fingerprint);
+    suspects_->abandon(fingerprint, base::clock::now());
+  };
+  out.settle_try = [this](const health::attempt& a, std::function<void()> done) {
+    suspects_->end(a.fingerprint, a.upstream, a.end, base::clock::now(), std::move(done));
+  };
   out.report = [this](const proxy::authorized_request& request, const health::attempt& a) {
     report(request, a);
   };
@@ -134,7 +145,12 @@
   }
   if (!fleet_.is_fresh(now)) {
     // The key may have been withdrawn, or issued, without this instance having heard of it.
-    return not_run(503, "stale_view", "this instance is cut off from the fleet; use another one");
+    auto stale =
+        not_run(503, "stale_view", "this instance is cut off from the fleet; use another one");
+    if (!out.route->is_repeatable && head.idempotency_key) {
+      stale.ran = ran_state::unknown; // an earlier attempt with this Idempotency-Key may have run
+    }
+    return stale;
   }
   out.workspace = configuration.find_workspace(key->workspace);
   return out;
@@ -197,28 +213,103 @@
               now - *request.turn_started, now);
 }
 
-proxy::decided<proxy::upstream_target> traffic::pick(const proxy::authorized_request& request,
-                                                     std::uint64_t /*fingerprint*/,
-                                                     const std::vector<std::string>& tried) {
-  const auto now = base::clock::now();
+void traffic::plan_try(const proxy::authorized_request& request, std::uint64_t fingerprint,
+                       std::function<void(proxy::decided<void>)> done) {
+  service_of_suspect_[fingerprint] = request.service->name;
+  suspects_->admit(fingerprint, base::clock::now(), request.deadline,
+                   [this, fingerprint, done = std::move(done)](auto plan) {
+                     service_of_suspect_.erase(fingerprint);
+                     if (!plan) {
+                       done(plan.error());
+                       return;
+                     }
+                     if (plan.value().isolated_at) {
+                       isolated_at_[fingerprint] = *plan.value().isolated_at;
+                     }
+                     done(base::success());
+                   });
+}
+
+// A server that runs nothing for this instance and carries no other suspect.
+std::optional<std::string> traffic::pick_idle(std::uint64_t fingerprint) {
+  const auto service = service_of_suspect_.find(fingerprint);
+  if (service == service_of_suspect_.end()) {
+    return std::nullopt;
+  }
+  for (const auto& it : registry_->upstreams(service->second)) {
+    const auto& id = it.info.id;
+    if (!it.info.is_draining && !it.is_stale && !suspects_->is_carrier(id) &&
+        balancer_->in_flight(service->second, id) == 0) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+// Chooses a server that carries no suspect.
+balance::result<std::string> traffic::pick_usual(const proxy::authorized_request& request,
+                                                 std::vector<std::string> tried,
+                                                 base::time_point now) {
+  while (true) {
+    balance::pick_request wanted;
+    wanted.service = request.service->name;
+    wanted.route = request.route->name;
+    wanted.tried = tried;
+    wanted.is_repeatable = request.route->is_repeatable;
+    auto picked = balancer_->pick(wanted, now);
+    if (!picked || !suspects_->is_carrier(picked.value())) {
+      return picked;
+    }
+    balancer_->release(request.service->name, picked.value());
+    tried.push_back(picked.value());
+  }
+}
+
+// Takes a slot at `server` alone, for a request that is suspected of crashing servers.
+balance::result<std::string> traffic::pick_isolated(const proxy::authorized_request& request,
+                                                    const std::string& server,
+                                                    base::time_point now) {
+  std::vector<std::string> others;
+  for (const auto& it : registry_->upstreams(request.service->name)) {
+    if (it.info.id != server) {
+      others.push_back(it.info.id);
+    }
+  }
   balance::pick_request wanted;
   wanted.service = request.service->name;
   wanted.route = request.route->name;
-  wanted.tried = tried;
+  wanted.tried = others;
+  wanted.is_isolated = true;
   wanted.is_repeatable = request.route->is_repeatable;
-  auto picked = balancer_->pick(wanted, now);
+  return balancer_->pick(wanted, now);
+}
+
+proxy::decided<proxy::upstream_target> traffic::pick(const proxy::authorized_request& request,
+                                                     std::uint64_t fingerprint,
+                                                     const std::vector<std::string>& tried) {
+  const auto now = base::clock::now();
+  const auto isolated = isolated_at_.extract(fingerprint);
+  auto picked = isolated.empty() ? pick_usual(request, tried, now)
+                                 : pick_isolated(request, isolated.mapped(), now);
   if (!picked) {
+    if (!isolated.empty()) {
+      suspects_->abandon(fingerprint, now);
+    }
     if (picked.error() == balance::pick_error::all_busy) {
-      return not_run(503, "upstreams_busy", "all backend servers of the service are full",
-                     busy_retry_after);
+      auto busy = not_run(503, "upstreams_busy", "all backend servers of the service are full",
+                          busy_retry_after);
+      busy.is_passing = true;
+      return busy;
     }
     return not_run(503, "no_upstream", "the service has no backend server to use");
   }
   proxy::upstream_target out;
   settings::endpoint endpoint;
-  if (!settings::parse_endpoint(picked.value(), endpoint)) {
+  if (!settings::parse_endpoint(picked.value(), endpoint) ||
+      !suspects_->begin(fingerprint, picked.value(), now)) {
     balancer_->release(request.service->name, picked.value());
-    return not_run(503, "no_upstream", "the backend server's address is not usable");
+    return not_run(503, "crash_suspect",
+                   "the request has just become suspected of crashing backend servers");
   }
   out.id = picked.value();
   out.address = endpoint.address;
--- a/src/proxy/request_answer.cpp
+++ b/src/proxy/request_answer.cpp
@@ -39,7 +39,19 @@
   co_return;
 }
 
-awaitable<void> request_run::refuse(const refusal& r) {
+/// "Not run" speaks of the whole life of an idempotency key. Before the reservation has told that
+/// no earlier attempt exists, that can't be said.
+refusal request_run::with_key_history(refusal r) const {
+  const bool has_history =
+      auth_.route && !auth_.route->is_repeatable && head_.idempotency_key.has_value();
+  if (has_history && !was_reserved_ && r.ran == ran_state::no) {
+    r.ran = ran_state::unknown;
+  }
+  return r;
+}
+
+awaitable<void> request_run::refuse(const refusal& reason) {
+  const auto r = with_key_history(reason);
   context_.metrics.count_refusal(r.reason);
   // Framing that was not understood leaves no trust in where the next request begins.
   const bool is_framing_unsure = r.status == 400 || r.status == 501 || r.status == 505;
--- a/src/proxy/request_run.cpp
+++ b/src/proxy/request_run.cpp
@@ -256,11 +256,13 @@
   out_->is_resendable = auth_.route->is_repeatable && !is_streamed_;
   out_->must_store = !auth_.route->is_repeatable;
   out_->deadline = auth_.deadline;
+  // A streamed body is not read yet; its length stands for it.
+  std::string identity = workspace_name();
+  identity.append("\n").append(auth_.route->name).append("\n").append(head_.method);
+  identity.append("\n").append(view_of(head.target())).append("\n");
+  identity.append(is_streamed_ ? std::to_string(head_.content_length.value_or(0)) : body_);
+  fingerprint_ = base::hash64(identity);
   if (!is_streamed_) {
-    std::string identity = workspace_name();
-    identity.append("\n").append(auth_.route->name).append("\n").append(head_.method);
-    identity.append("\n").append(view_of(head.target())).append("\n").append(body_);
-    fingerprint_ = base::hash64(identity);
     out_->body = std::move(body_);
   }
 }
@@ -302,6 +304,31 @@
   co_return refused;
 }
 
+/// Asks whether the next try may be made; false leaves the reason in failure_.
+awaitable<bool> request_run::plan_try() {
+  if (!context_.hook.plan_try) {
+    co_return true;
+  }
+  auto waiting = std::make_shared<pending<void>>();
+  waiting->wake = wake_;
+  context_.hook.plan_try(
+      auth_, fingerprint_,
+      [waiting, &context = context_, fingerprint = fingerprint_](decided<void> result) {
+        if (!waiting->is_abandoned) {
+          waiting->result.emplace(std::move(result));
+          waiting->wake->notify();
+        } else if (result) {
+          context.hook.abandon_try(fingerprint);
+        }
+      });
+  auto refused = co_await wait_for(waiting);
+  if (refused) {
+    failure_ = std::move(refused);
+    co_return false;
+  }
+  co_return true;
+}
+
 awaitable<std::optional<refusal>> request_run::reserve() {
   auto waiting = std::make_shared<pending<reservation>>();
   waiting->wake = wake_;
@@ -323,6 +350,7 @@
     replay_ = std::move(granted.answer);
     co_return std::nullopt;
   }
+  was_reserved_ = true;
   // The grant may arrive together with the deadline or the caller's end.
   if (caller_->is_gone || base::clock::now() >= auth_.deadline) {
     context_.hook.release(granted.attempt_id);
--- a/src/proxy/request_run.h
+++ b/src/proxy/request_run.h
@@ -37,6 +37,7 @@
   awaitable<std::optional<refusal>> gate();
   awaitable<std::optional<refusal>> admit();
   awaitable<std::optional<refusal>> reserve();
+  awaitable<bool> plan_try();
   awaitable<std::optional<refusal>> read_whole_body();
   awaitable<void> send_continue();
   std::string workspace_name() const;
@@ -48,7 +49,9 @@
   awaitable<exchange_ptr> find_answer();
   bool was_sent() const;
   bool start_try();
-  bool start_retry(const health::attempt& last);
+  awaitable<bool> start_first_try();
+  awaitable<bool> start_retry();
+  awaitable<void> wait_settled();
   void start_hedge();
   void start_checks(base::time_point now);
   exchange_ptr settle_finished();
@@ -64,7 +67,8 @@
   std::optional<refusal> refusal_of_body(body_state state) const;
 
   // request_answer.cpp: what the caller gets.
-  awaitable<void> refuse(const refusal& r);
+  refusal with_key_history(refusal r) const;
+  awaitable<void> refuse(const refusal& reason);
   awaitable<void> write_to_caller(std::string_view head, std::string_view body);
   awaitable<void> deliver(const exchange_ptr& ex);
   awaitable<void> deliver_rest(const exchange_ptr& ex);
@@ -89,6 +93,7 @@
   bool is_streamed_ = false;
   bool is_waiting_for_continue_ = false;
   bool is_admitted_ = false;
+  bool was_reserved_ = false; ///< no earlier attempt with the idempotency key exists
 
   std::optional<std::uint64_t> reservation_; ///< attempt that may send
   std::optional<stored_answer> replay_;
@@ -97,6 +102,11 @@
   std::vector<attempt_pair> live_;
   exchange_ptr fallback_; ///< whole answer with an error status, given when no try does better
   std::optional<refusal> failure_;
+  std::optional<health::attempt> failed_; ///< last failed try, until a retry was considered
+  struct settling {
+    std::size_t count = 0; ///< tries that may still turn out to have crashed their server
+  };
+  std::shared_ptr<settling> unsettled_ = std::make_shared<settling>();
   std::optional<base::time_point> hedge_at_;
   unsigned tries_ = 0;
   bool may_have_run_ = false;
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -38,6 +38,8 @@
   }
 }
 
+constexpr base::milliseconds busy_pause{5}; // about the time in which a slot is freed
+
 bool is_error_answer(const exchange& ex) {
   return ex.end() == attempt_end::error_status || ex.end() == attempt_end::shed;
 }
@@ -46,7 +48,8 @@
 
 /// Runs tries until one has an answer to give. Null when none has; failure_ says why.
 awaitable<request_run::exchange_ptr> request_run::find_answer() {
-  if (!start_try()) {
+  const bool has_begun = co_await start_first_try();
+  if (!has_begun) {
     co_return nullptr;
   }
   if (out_->is_resendable && context_.hook.hedge_delay) {
@@ -66,6 +69,10 @@
       co_return winner;
     }
     if (live_.empty()) {
+      const bool is_retried = co_await start_retry();
+      if (is_retried) {
+        continue;
+      }
       co_return std::exchange(fallback_, nullptr);
     }
     const auto now = base::clock::now();
@@ -77,6 +84,32 @@
   }
 }
 
+/// The first try; waits for a free server until the deadline.
+awaitable<bool> request_run::start_first_try() {
+  for (;;) {
+    const bool is_planned = co_await plan_try();
+    if (!is_planned) {
+      co_return false;
+    }
+    if (start_try()) {
+      co_return true;
+    }
+    const auto next = base::clock::now() + busy_pause;
+    if (!failure_->is_passing || next >= auth_.deadline || caller_->is_gone) {
+      co_return false;
+    }
+    failure_.reset();
+    co_await wake_->wait_until(next);
+  }
+}
+
+/// Waits until no try of this request may still turn out to have crashed its server.
+awaitable<void> request_run::wait_settled() {
+  while (unsettled_->count > 0) {
+    co_await wake_->wait_until(base::time_point::max());
+  }
+}
+
 /// Bytes of the request have left on any try.
 bool request_run::was_sent() const {
   return may_have_run_ || std::any_of(live_.begin(), live_.end(), [](const attempt_pair& pair) {
@@ -104,23 +137,30 @@
   return false;
 }
 
-/// Another try after `last`, when the request can be sent again and the budget allows it.
-bool request_run::start_retry(const health::attempt& last) {
+/// Another try after the last failed one, when the request can be sent again and the budget
+/// allows it.
+awaitable<bool> request_run::start_retry() {
+  co_await wait_settled();
+  if (!failed_) {
+    co_return false;
+  }
+  const auto last = *std::exchange(failed_, std::nullopt);
   const bool was_not_sent = last.end == attempt_end::connect_failed;
   const bool is_allowed =
       out_->is_resendable || (was_not_sent && !may_have_run_ && body_bytes_ == 0);
   if (!is_allowed || base::clock::now() >= auth_.deadline ||
       tries_ >= context_.settings.max_tries || caller_->is_gone) {
-    return false;
+    co_return false;
   }
   if (!context_.hook.may_retry || !context_.hook.may_retry(auth_, last)) {
-    return false;
+    co_return false;
   }
-  if (!start_try()) {
-    return false;
+  const bool is_planned = co_await plan_try();
+  if (!is_planned || !start_try()) {
+    co_return false;
   }
   context_.metrics.count_retry(health::to_string(last.end));
-  return true;
+  co_return true;
 }
 
 void request_run::start_hedge() {
@@ -230,9 +270,7 @@
   } else {
     failure_ = refusal_of(ended->end(), may_have_run_);
   }
-  if (live_.empty()) {
-    start_retry(ended->to_attempt(auth_, fingerprint_));
-  }
+  failed_ = ended->to_attempt(auth_, fingerprint_);
   return nullptr;
 }
 
@@ -249,8 +287,17 @@
 }
 
 void request_run::report(exchange& ex) {
-  if (ex.mark_reported()) {
-    context_.hook.report(auth_, ex.to_attempt(auth_, fingerprint_));
+  if (!ex.mark_reported()) {
+    return;
+  }
+  const auto attempt = ex.to_attempt(auth_, fingerprint_);
+  context_.hook.report(auth_, attempt);
+  if (context_.hook.settle_try) {
+    ++unsettled_->count;
+    context_.hook.settle_try(attempt, [state = unsettled_, wake = wake_] {
+      --state->count;
+      wake->notify();
+    });
   }
 }
 
