Bound what the parser allocates for counts in messages

A map header of five bytes from a stranger made msgpack ask for 137 GB; the exception would have ended the process. Counts are now bounded by the input's size and nesting by 16.

--- a/include/kingcupshunt/peer/message.h
+++ b/include/kingcupshunt/peer/message.h
@@ -19,6 +19,15 @@
 /// Greatest body of a message in bytes.
 inline constexpr std::size_t max_body_bytes = 1U << 20U;
 
+/// Greatest depth of nested arrays and maps in a message.
+inline constexpr std::size_t max_message_depth = 16;
+
+/// Bounds for parsing `size` bytes. Each element takes at least one byte, so a greater count is
+/// false; without a bound the parser allocates memory for whatever count the input claims.
+inline msgpack::unpack_limit parse_limits(std::size_t size) {
+  return {size, size, size, size, size, max_message_depth};
+}
+
 /// msgpack form of a message struct that uses MSGPACK_DEFINE_MAP.
 template <class T>
 std::string pack(const T& message) {
@@ -33,7 +42,8 @@
 std::optional<T> unpack(std::string_view body) {
   try {
     std::size_t offset = 0;
-    const auto handle = msgpack::unpack(body.data(), body.size(), offset);
+    const auto handle = msgpack::unpack(body.data(), body.size(), offset, nullptr, nullptr,
+                                        parse_limits(body.size()));
     if (offset != body.size() || handle.get().type != msgpack::type::MAP) {
       return std::nullopt;
     }
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -59,7 +59,8 @@
 frame_result<frame> decode_frame(std::string_view content, version_range supported) {
   try {
     std::size_t offset = 0;
-    const auto handle = msgpack::unpack(content.data(), content.size(), offset);
+    const auto handle = msgpack::unpack(content.data(), content.size(), offset, nullptr, nullptr,
+                                        parse_limits(content.size()));
     const auto& object = handle.get();
     if (offset != content.size() || object.type != msgpack::type::ARRAY ||
         object.via.array.size < frame_elements ||
--- a/tests/peer/frame_test.cpp
+++ b/tests/peer/frame_test.cpp
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 
 #include "kingcupshunt/peer/frame.h"
+#include "kingcupshunt/peer/handshake.h"
 
 using namespace kingcupshunt::peer;
 
@@ -90,3 +91,13 @@
   CHECK(frame_opener(key).open(changed).error() == frame_error::unauthenticated);
   CHECK(frame_opener(key).open("short").error() == frame_error::malformed);
 }
+
+// Guards against 137 GB that a stranger's five bytes made the parser ask for.
+TEST_CASE("a count that the input cannot hold is refused before memory is allocated") {
+  for (const auto* header : {"\xdd\xff\xff\xff\xff", "\xdf\xff\xff\xff\xff"}) {
+    const std::string bytes(header, 5);
+    CHECK(decode_frame(bytes, {1, 1}).error() == frame_error::malformed);
+    CHECK_FALSE(unpack<hello_message>(bytes).has_value());
+  }
+  CHECK(decode_frame(std::string(4000, '\x91'), {1, 1}).error() == frame_error::malformed);
+}
