--- a/include/kingcupshunt/membership/detector.h
+++ b/include/kingcupshunt/membership/detector.h
@@ -116,6 +116,7 @@
     std::uint32_t last_probe_sequence = 0; ///< of the latest direct probe from this member
     path_direction reported = path_direction::none;
     std::uint8_t rounds_without_direct = 0; ///< consecutive, while held alive
+    base::time_point proof_at{};            ///< latest round with an answer by any path
     base::time_point heard_at{};            ///< latest message on the direct path
     base::time_point recheck_at{};
   };
@@ -151,6 +152,7 @@
   std::optional<std::size_t> next_in_order();
   void note_outcome(bool is_answered);
   void expire_suspicions(base::time_point now);
+  void refresh_damped(base::time_point now);
 
   void receive_probe(std::size_t from, const probe_message& message, base::time_point now);
   void receive_ack(std::size_t from, const probe_ack_message& message, base::time_point now);
@@ -187,6 +189,8 @@
   base::time_point next_round_at_{};
   base::time_point next_push_at_{};
   bool has_urgent_news_ = false;
+  bool has_suspects_ = false; ///< false: no record needs to be scanned
+  bool has_damped_ = false;
   std::uint32_t sequence_ = 0;
   std::uint64_t rounds_ = 0;
   base::time_point answered_at_{}; ///< end of the latest round with an answer
--- a/include/kingcupshunt/membership/freshness.h
+++ b/include/kingcupshunt/membership/freshness.h
@@ -113,6 +113,7 @@
   void fill_samples(freshness_answer& out, bool is_same_view, base::time_point now) const;
 
   void refresh(base::time_point now);
+  void count_groups(base::time_point now);
   void refresh_held(base::time_point now);
   void raise_held(std::uint64_t revision);
   void note_peer_revision(std::string_view peer, std::uint64_t revision);
--- a/include/kingcupshunt/membership/self_watch.h
+++ b/include/kingcupshunt/membership/self_watch.h
@@ -61,7 +61,6 @@
   self_watch_settings settings_;
   window window_;
   base::time_point window_ends_ = base::time_point::min();
-  base::time_point last_tick_ = base::time_point::min();
   int bad_ = 0;
   int good_ = 0;
   self_problem problem_ = self_problem::none;
--- a/src/membership/detector.cpp
+++ b/src/membership/detector.cpp
@@ -21,6 +21,10 @@
 
 constexpr std::size_t max_rechecks = 32;
 
+// Up to this size more helpers are asked: a few cuts are a large share of a small fleet's paths.
+constexpr std::size_t small_fleet = 32;
+constexpr std::size_t small_fleet_helpers = 6;
+
 // A member that was heard directly within this many periods still reaches this instance.
 constexpr int heard_periods = 8;
 
@@ -119,15 +123,11 @@
     send_indirect();
   }
   expire_suspicions(now);
-  for (std::size_t i = 0; i < records_.size(); ++i) {
-    if (records_[i].damper.is_damped()) {
-      refresh_visible(i, false, now);
-    }
-  }
+  refresh_damped(now);
   std::erase_if(forwarded_, [&](const auto& f) { return now - f.sent_at > 2 * settings_.period; });
-  // News about failures does not wait for the next round; at most one push per period bounds it.
+  // News about failures does not wait for the next round; at most two pushes per period bound it.
   if (has_urgent_news_ && now >= next_push_at_) {
-    next_push_at_ = now + settings_.period;
+    next_push_at_ = now + settings_.period / 2;
     push_news(settings_.indirect_peers);
   }
   if (now >= next_round_at_) {
@@ -204,7 +204,10 @@
       helpers.push_back(i);
     }
   }
-  for (std::size_t n = 0; n < settings_.indirect_peers && !helpers.empty(); ++n) {
+  const auto wanted = records_.size() <= small_fleet
+                          ? std::max(settings_.indirect_peers, small_fleet_helpers)
+                          : settings_.indirect_peers;
+  for (std::size_t n = 0; n < wanted && !helpers.empty(); ++n) {
     std::swap(helpers[rng_.below(helpers.size())], helpers.back());
     probe_request_message message;
     message.sequence = round_->sequence;
@@ -228,6 +231,7 @@
   }
   if (is_answered) {
     answered_at_ = now;
+    r.proof_at = now;
     judge_path(target);
   } else if (r.state == member_state::alive && !is_isolated()) {
     // Alive again after a former round went unanswered: it refuted the suspicion over another way.
@@ -239,7 +243,9 @@
   const auto& id = view_.members[target].id;
   if (is_doubtful && rechecks_.size() < max_rechecks &&
       std::ranges::find(rechecks_, id) == rechecks_.end()) {
-    r.recheck_at = r.reported != path_direction::none ? now + settings_.fault_recheck : now;
+    const bool is_known_fault =
+        r.reported != path_direction::none && r.state != member_state::suspect;
+    r.recheck_at = is_known_fault ? now + settings_.fault_recheck : now;
     rechecks_.push_back(id);
   }
   round_.reset();
@@ -275,17 +281,33 @@
   }
 }
 
+void detector::refresh_damped(base::time_point now) {
+  if (!std::exchange(has_damped_, false)) {
+    return;
+  }
+  for (std::size_t i = 0; i < records_.size(); ++i) {
+    if (records_[i].damper.is_damped()) {
+      refresh_visible(i, false, now);
+      has_damped_ = has_damped_ || records_[i].damper.is_damped();
+    }
+  }
+}
+
 void detector::expire_suspicions(base::time_point now) {
-  if (is_isolated()) {
+  if (is_isolated() || !std::exchange(has_suspects_, false)) {
     return;
   }
   for (std::size_t i = 0; i < records_.size(); ++i) {
     auto& r = records_[i];
-    if (r.state != member_state::suspect || now < r.suspect_until) {
+    if (r.state != member_state::suspect) {
+      continue;
+    }
+    has_suspects_ = true;
+    if (now < r.suspect_until) {
       continue;
     }
-    if (r.heard_at > r.suspect_since) {
-      // It still sends, so it will hear of the suspicion and refute it.
+    if (std::max(r.heard_at, r.proof_at) > r.suspect_since) {
+      // It lives, so it will hear of the suspicion and refute it.
       r.suspect_since = now;
       r.suspect_until = now + 2 * settings_.period;
     } else if (answered_at_ >= r.suspect_since) {
--- a/src/membership/detector_receive.cpp
+++ b/src/membership/detector_receive.cpp
@@ -127,6 +127,10 @@
   apply_all(message.updates, now);
   if (!message.target.empty()) { // forwarded to this instance by a helper
     const auto target = index_of(message.target);
+    if (target && target != self_ && message.incarnation > records_[*target].incarnation) {
+      apply({message.target, static_cast<std::uint8_t>(member_state::alive), message.incarnation},
+            now);
+    }
     if (target && round_ && round_->sequence == message.sequence && round_->target == *target) {
       round_->is_indirect_answered = true;
       round_->has_heard_origin = round_->has_heard_origin || message.has_heard_origin;
@@ -215,11 +219,13 @@
     const auto n = std::max<double>(10.0, static_cast<double>(view_.members.size()));
     const auto length =
         base::to_seconds(settings_.period) * settings_.suspicion_periods * std::log10(n);
+    has_suspects_ = true;
     r.suspect_since = now;
     r.suspect_until = now + base::from_seconds(length);
   }
   if (former == member_state::failed && state == member_state::alive) {
     r.damper.add_return(settings_.flapping, now);
+    has_damped_ = has_damped_ || r.damper.is_damped();
   }
   // Also the first incarnation heard of a living member is passed on: without it a suspicion of
   // that member has no incarnation, and is ignored by those who know one.
--- a/src/membership/freshness.cpp
+++ b/src/membership/freshness.cpp
@@ -13,6 +13,9 @@
 // Inactive members are queried in one of this many rounds, so that a returning one is counted.
 constexpr std::uint64_t inactive_rounds = 4;
 
+// News of a majority is at most about three periods old while all aggregators answer.
+constexpr int late_periods = 3;
+
 } // namespace
 
 freshness::freshness(freshness_settings settings, peer::send_function send, freshness_hooks hooks)
@@ -107,7 +110,10 @@
     queries_.pop_front();
     ++first_call_id_;
   }
+  // Counting groups and confirming revisions costs too much to be done for each message.
+  count_groups(now);
   refresh(now);
+  refresh_held(now);
   if (now >= next_query_at_ && !view_.members.empty()) {
     // Up to an eighth of jitter keeps the instances from querying in step.
     const auto jitter = base::from_seconds(base::to_seconds(settings_.period) * rng_.unit() / 8);
@@ -148,8 +154,9 @@
 void freshness::query_by_group(base::time_point now) {
   const auto& groups = groups_.groups();
   if (!self_ || !groups.is_aggregator(*self_)) {
-    // Without an answer for two periods, any other group's aggregator serves as well.
-    const bool is_late = covered_at_ == never || now - covered_at_ > 4 * settings_.period;
+    // When the own group's aggregators bring nothing new, those of other groups serve as well.
+    const bool is_late =
+        covered_at_ == never || now - covered_at_ > late_periods * settings_.period;
     const auto own = self_ ? groups.group_of(*self_) : rng_.below(groups.count());
     const auto group = is_late && round_ % 2 == 0 ? rng_.below(groups.count()) : own;
     const auto& aggregators = groups.aggregators(group);
@@ -192,12 +199,6 @@
   }
   if (is_flat()) {
     covered_at_ = std::max(covered_at_, table_.covered_by(view_.majority()));
-  } else if (self_ && groups_.groups().is_aggregator(*self_)) {
-    const auto own = groups_.groups().group_of(*self_);
-    groups_.add(own, groups_.count(own, table_, now), now, now);
-    if (const auto c = groups_.majority(view_.majority())) {
-      certificates_.add(c->revision, c->taken_at, applied_);
-    }
   }
   covered_at_ = std::max(covered_at_, certificates_.taken_at());
   // Samples taken since this process started cover everything that this instance was counted for
@@ -205,7 +206,17 @@
   if (!is_synced_ && covered_at_ != never && covered_at_ >= settings_.started_at) {
     set_synced(now);
   }
-  refresh_held(now);
+}
+
+void freshness::count_groups(base::time_point now) {
+  if (is_flat() || !self_ || !groups_.groups().is_aggregator(*self_)) {
+    return;
+  }
+  const auto own = groups_.groups().group_of(*self_);
+  groups_.add(own, groups_.count(own, table_, now), now, now);
+  if (const auto c = groups_.majority(view_.majority())) {
+    certificates_.add(c->revision, c->taken_at, applied_);
+  }
 }
 
 void freshness::refresh_held(base::time_point now) {
