--- a/src/peer/transport_impl.cpp
+++ b/src/peer/transport_impl.cpp
@@ -276,7 +276,8 @@
     if (!entry.queue.empty() && ready_connection(entry) == nullptr) {
       connect(it->first, entry, now);
     }
-    const bool is_unused = !entry.address && !entry.outgoing && entry.incoming.empty();
+    const bool is_unused =
+        !entry.address && !entry.outgoing && entry.incoming.empty() && entry.relay.empty();
     it = is_unused ? peers.erase(it) : std::next(it);
   }
   if (!is_accepting) {
--- a/tests/membership/fresh_fleet.h
+++ b/tests/membership/fresh_fleet.h
@@ -119,12 +119,22 @@
   }
 
   /// Appends a change through an instance that has applied the whole log.
-  bool propose(std::size_t i, std::optional<membership::fleet_view> view = std::nullopt) {
-    auto& self = instances[i];
-    if (!self.is_up || self.applied != head() || (view && !self.core->is_view_settled())) {
+  bool propose(std::size_t i) {
+    if (!instances[i].is_up || instances[i].applied != head()) {
+      return false;
+    }
+    log.emplace_back();
+    apply(i, head());
+    return true;
+  }
+
+  /// The same with a change of the view, which the former view must allow.
+  bool propose(std::size_t i, const membership::fleet_view& view) {
+    if (!instances[i].is_up || instances[i].applied != head() ||
+        !instances[i].core->is_view_settled()) {
       return false;
     }
-    log.push_back(std::move(view));
+    log.emplace_back(view);
     apply(i, head());
     return true;
   }
