Let an instance join under load and test the sync thread

A joining instance had to hold the commit index of the same moment, which under load it rarely does; it now has an election timeout to reach a former one.

--- a/include/kingcupshunt/consensus/replica.h
+++ b/include/kingcupshunt/consensus/replica.h
@@ -139,6 +139,8 @@
     std::string store;
     snapshot sending; ///< index not 0: this snapshot is being sent
     std::uint64_t snapshot_offset = 0;
+    std::uint64_t join_mark = 0; ///< joining: commit index to reach within an election timeout
+    base::time_point join_marked_at;
   };
   struct pending_read {
     std::uint64_t after_sequence = 0;
@@ -193,6 +195,7 @@
   replica_result<void> propose_voters(const voter_set& next, base::time_point now);
   replica_result<void> may_change_voters() const;
   void refresh_progress(base::time_point now);
+  bool has_caught_up(progress& p, base::time_point now) const noexcept;
   bool is_same_store(const voter& v, const progress& p) const noexcept;
 
   // replica_storage.cpp
--- a/src/consensus/replica_voters.cpp
+++ b/src/consensus/replica_voters.cpp
@@ -72,6 +72,18 @@
   return propose_voters(next, now);
 }
 
+// Entries keep coming while an instance joins, so it has caught up when it reaches a former commit
+// index soon enough.
+bool replica::has_caught_up(progress& p, base::time_point now) const noexcept {
+  const bool is_in_time = p.join_mark != 0 && now - p.join_marked_at < settings_.election_timeout;
+  if (is_in_time || (p.join_mark != 0 && p.match < p.join_mark)) {
+    return is_in_time && p.match >= p.join_mark;
+  }
+  p.join_mark = commit_;
+  p.join_marked_at = now;
+  return false;
+}
+
 // A voter that came back with another data folder is removed and joins again, in two changes: the
 // majorities before and after a single exchange need not share a voter.
 void replica::advance_voter_changes(base::time_point now) {
@@ -90,8 +102,8 @@
   }
   for (const auto& id : voters_.joining) {
     const auto it = peers_.find(id);
-    if (it != peers_.end() && !it->second.store.empty() && it->second.match >= commit_ &&
-        now - it->second.heard_at < settings_.election_timeout) {
+    if (it != peers_.end() && !it->second.store.empty() &&
+        now - it->second.heard_at < settings_.election_timeout && has_caught_up(it->second, now)) {
       auto next = voters_;
       std::erase(next.joining, id);
       next.voters.push_back({id, it->second.store});
--- a/tests/storage/log_store_test.cpp
+++ b/tests/storage/log_store_test.cpp
@@ -1,11 +1,16 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <condition_variable>
+#include <cstring>
 #include <filesystem>
+#include <mutex>
 
 #include <unistd.h>
 
+#include "kingcupshunt/base/hash.h"
 #include "kingcupshunt/storage/log_store.h"
+#include "kingcupshunt/storage/sync_thread.h"
 #include "storage/memory_files.h"
 
 using namespace test;
@@ -78,6 +83,14 @@
   other = settings();
   other.instance = "b";
   CHECK(storage::log_store::open(other, fs).error().code == error_code::other_owner);
+  // The owner record with the format raised by one and a hash that fits.
+  auto& owner = fs->now.at("data/owner")->data;
+  const auto format = owner.find("format") + 6;
+  owner[format] = static_cast<char>(owner[format] + 1);
+  const auto payload = std::string_view(owner).substr(16);
+  const auto hash = base::hash64(payload, payload.size());
+  std::memcpy(owner.data() + 8, &hash, sizeof hash);
+  CHECK(storage::log_store::open(settings(), fs).error().code == error_code::newer_format);
 }
 
 // Guards against entries that are dropped silently when the disk damages what was acknowledged.
@@ -219,3 +232,42 @@
   store.reset();
   std::filesystem::remove_all(folder);
 }
+
+// Guards against a completion that is posted before the write is durable, or for a failed one.
+TEST_CASE("the sync thread reports each write in order and failures as such") {
+  auto fs = std::make_shared<memory_files>();
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::vector<std::function<void()>> posted;
+  std::vector<std::string> seen;
+  storage::sync_thread_hooks h;
+  h.post = [&](std::function<void()> f) {
+    const std::lock_guard guard(mutex);
+    posted.push_back(std::move(f));
+    changed.notify_one();
+  };
+  h.on_written = [&](std::uint64_t sequence, const auto& failure) {
+    seen.push_back(std::to_string(sequence) + (failure ? " failed" : " written"));
+  };
+  h.on_snapshot_saved = [&](std::uint64_t index, const auto& failure) {
+    seen.push_back("snapshot " + std::to_string(index) + (failure ? " failed" : " saved"));
+  };
+  const auto wait_for = [&](std::size_t n) {
+    std::unique_lock lock(mutex);
+    changed.wait_for(lock, std::chrono::seconds(30), [&] { return posted.size() >= n; });
+  };
+  {
+    storage::sync_thread t(storage::log_store::open(settings(), fs).value(), h);
+    t.write(batch(1, {command(1)}));
+    t.write(batch(2, {command(2)}));
+    wait_for(2);
+    t.save_snapshot(snapshot_at(2));
+    wait_for(3);
+    fs->syncs_left = 0;
+    t.write(batch(3, {command(3)}));
+  }
+  for (const auto& f : posted) {
+    f();
+  }
+  CHECK(seen == std::vector<std::string>{"1 written", "2 written", "snapshot 2 saved", "3 failed"});
+}
