--- a/src/consensus/replica_snapshot.cpp
+++ b/src/consensus/replica_snapshot.cpp
@@ -163,6 +163,10 @@
   if (p.store != m.store || p.sending.index != m.index) {
     return;
   }
+  if (!m.is_installed && m.sequence != p.sent_sequence) {
+    // Answering each copy with a chunk would let doubled messages multiply.
+    return;
+  }
   p.sent_sequence = 0;
   if (m.is_installed) {
     p.match = std::max(p.match, m.index);
