--- a/tests/consensus/replica_test.cpp
+++ b/tests/consensus/replica_test.cpp
@@ -200,3 +200,28 @@
   CHECK(r.malformed_messages() == 2);
   CHECK(r.term() == 0);
 }
+
+// Guards against a candidate that lost its disk and counts the votes for its former folder.
+TEST_CASE("a vote that was asked for another data folder does not count") {
+  consensus::replica_settings s;
+  s.self = {"a", "new"};
+  s.initial_voters = {"a", "b", "c"};
+  consensus::replica_hooks h;
+  h.send = [](auto, auto, auto) {};
+  h.persist = [](auto) {};
+  base::time_point now{milliseconds(1000000)};
+  consensus::replica r(s, h, {}, now);
+  now += milliseconds(2500);
+  r.tick(now);
+  REQUIRE(r.current_role() == consensus::role::pre_candidate);
+  const auto answer = [&](const char* from, const char* folder) {
+    const consensus::vote_answer m{1, true, true, std::string(from) + "-1", folder};
+    r.receive(from, peer::message_kind::log_vote_answer, peer::pack(m), now);
+  };
+  answer("b", "old");
+  answer("c", "old");
+  CHECK(r.current_role() == consensus::role::pre_candidate);
+  answer("b", "new");
+  answer("c", "new");
+  CHECK(r.current_role() == consensus::role::candidate);
+}
