Wait for a clear margin before calling a fault a path fault

Findings with a margin near 0 cleared the scores of a server that fails 30 % and excluded its witnesses for 10 s. A finding now needs a margin of 2, and a single witness waits for another one instead of being set aside.

--- a/src/health/service_ejection.cpp
+++ b/src/health/service_ejection.cpp
@@ -27,6 +27,10 @@
 constexpr std::size_t enough_witnesses = 3;
 constexpr double witness_bad = 0.3;
 
+// Log likelihood by which a path fault must explain the attempts better than a bad server. Findings
+// below it cleared the scores of servers that failed 30 % and delayed their ejection by 10 s.
+constexpr double least_margin = 2;
+
 // An instance with more than this part of the service's traffic needs no second witness.
 constexpr double sole_witness_part = 0.9;
 
@@ -120,7 +124,8 @@
   return !is_wide && now - v.suspected_since < witness_wait;
 }
 
-// True when the fault belongs to the way from some instances. They rank the server last, and their
+// True when the server is not to be ejected now: the fault belongs to the way from some instances,
+// or it is not yet clear. Instances that meet a path fault rank the server last, and their
 // attempts at it stop counting for a while.
 bool service_health::find_path_fault(server& v, std::span<const instance_counts> counts,
                                      base::time_point now) {
@@ -130,22 +135,17 @@
     attempts += i.attempts;
     most = std::max(most, i.attempts);
   }
-  auto finding = find_scope(counts, 0);
+  const auto finding = find_scope(counts, 0);
   const auto witnesses =
       std::ranges::count_if(counts, [](const auto& c) { return c.bad > witness_bad; });
   // A server on probation was bad for all lately, so one witness is enough.
   const bool is_sole = witnesses < 2 && instances_.size() > 1 && v.state != standing::probation &&
                        most < sole_witness_part * attempts;
-  if (finding.scope == fault_scope::server && is_sole) {
-    finding.scope = fault_scope::instances;
-    for (const auto& c : counts) {
-      if (c.bad > witness_bad) {
-        finding.instances.push_back(c.instance);
-      }
-    }
-  }
   if (finding.scope == fault_scope::server) {
-    return false;
+    return is_sole; // waits for another witness
+  }
+  if (finding.margin < least_margin) {
+    return true; // undecided: the next attempts tell
   }
   std::string names;
   for (const auto& instance : finding.instances) {
