--- a/tests/admission/crash_suspects_test.cpp
+++ b/tests/admission/crash_suspects_test.cpp
@@ -64,6 +64,29 @@
   CHECK(rc::check([] { check_random_run(*rc::gen::arbitrary<std::uint32_t>(), true); }));
 }
 
+// Guards against two runs at once when the coordinator is lost during the second run, which random
+// runs rarely reach.
+TEST_CASE("a new coordinator waits for the permits of the one before") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    support::crash_options o;
+    o.seed = seed;
+    o.poison_callers = 3;
+    o.poison_time = milliseconds(3000);
+    crash_fleet fleet(o);
+    fleet.run(base::seconds(20));
+    fleet.call(crash_fleet::poison, {}, 8);
+    fleet.on_crash = [&fleet, is_first = true]() mutable {
+      if (std::exchange(is_first, false)) {
+        fleet.at(milliseconds(400), [&fleet] { fleet.kill(fleet.coordinator_of_poison()); });
+      }
+    };
+    fleet.run(base::seconds(40));
+    INFO("seed " << seed);
+    CHECK(fleet.servers_lost <= 2);
+    CHECK(fleet.poison_overlaps == 0);
+  }
+}
+
 // Guards against a table that depends on the order of messages.
 TEST_CASE("records merge in any order and a clear covers what it names") {
   admission::suspect_table a;
--- a/tests/admission/retry_test.cpp
+++ b/tests/admission/retry_test.cpp
@@ -118,6 +118,16 @@
   CHECK(budget.withdraw("good", start));
 }
 
+// Guards against many workspaces that fail at once and each use their constant part.
+TEST_CASE("the budget of the instance bounds the workspaces together") {
+  admission::retry_budget budget;
+  int allowed = 0;
+  for (int i = 0; i < 100; ++i) {
+    allowed += budget.withdraw("w" + std::to_string(i), start) ? 1 : 0;
+  }
+  CHECK(allowed == 25);
+}
+
 // Guards against memory that grows with the number of workspaces ever seen.
 TEST_CASE("the budget keeps a bounded number of workspaces") {
   admission::retry_budget_settings s;
