--- a/src/rates/handover.cpp
+++ b/src/rates/handover.cpp
@@ -98,8 +98,6 @@
 }
 
 bucket* owner::use_handover(std::string_view workspace, const limit& l, base::time_point now) {
-  // A former owner that restarts before a majority holds this view could act once more, so the
-  // handover waits for that majority too.
   const auto gained = find_gain(workspace);
   if (!gained || !views_.back().held_at) {
     return nullptr;
--- a/src/rates/owner.cpp
+++ b/src/rates/owner.cpp
@@ -65,6 +65,7 @@
     buckets_.clear();
     handovers_.clear();
     claims_.clear();
+    handovers_out_.clear();
     if (hooks_.on_decision) {
       hooks_.on_decision({"rates.takeover", "instance", settings_.self, "waits",
                           "view=" + std::to_string(view.version) +
@@ -335,6 +336,12 @@
   for (const auto& [to, frame] : out) {
     hooks_.send(to.first, peer::message_kind::rate_grant, peer::pack(frame));
   }
+  // A former owner that restarts may act in the old view until 2 s after a majority holds the new
+  // one. It waits longer than that after its start, so handovers are true if they are sent only
+  // once the view is held.
+  if (views_.empty() || !views_.back().held_at) {
+    return;
+  }
   auto handovers = std::exchange(handovers_out_, {});
   for (const auto& [to, frame] : handovers) {
     hooks_.send(to, peer::message_kind::rate_ask, peer::pack(frame));
--- a/tests/rates/handover_test.cpp
+++ b/tests/rates/handover_test.cpp
@@ -147,6 +147,20 @@
   CHECK(run.b.ask(run.w, 1, 2, start + milliseconds(20)).tokens == 1);
 }
 
+// Guards against a former owner that hands over, restarts, and grants again in the old view.
+TEST_CASE("a handover is not sent before a majority holds the view") {
+  pair_of_owners run;
+  run.a.is_held = false;
+  run.relieve(start);
+  CHECK(run.a.out.empty());
+  run.a.owner.tick(start + milliseconds(50));
+  CHECK(run.a.out.empty());
+  run.a.is_held = true;
+  run.a.owner.tick(start + milliseconds(100));
+  run.a.deliver_to(run.b, "a", start + milliseconds(100));
+  CHECK(run.b.ask(run.w, 1, 1, start + milliseconds(100)).tokens == 1);
+}
+
 // Guards against vouching for idle workspaces while tokens of an earlier owner may be out.
 TEST_CASE("a former owner vouches only for workspaces whose wait has passed there") {
   const auto w = name_in_turn();
