--- a/tests/rates/invariant_test.cpp
+++ b/tests/rates/invariant_test.cpp
@@ -171,6 +171,11 @@
   CHECK(rc::check([] { check_random_run(*rc::gen::arbitrary<std::uint32_t>(), false); }));
 }
 
+// Guards against a handover from an owner that restarts in the old view; found with this seed.
+TEST_CASE("no window admits more than its due in a run that once did") {
+  check_random_run(184296, false);
+}
+
 // Guards against an owner that returns with an old bucket after a view that it never saw.
 TEST_CASE("an owner that missed the view of another owner waits and starts empty") {
   owner_change run;
