--- a/include/kingcupshunt/peer/message_kind.h
+++ b/include/kingcupshunt/peer/message_kind.h
@@ -33,11 +33,11 @@
   registry_digest = 61,
   crash_suspects = 70,
   load_report = 71,
-  condition_report = 80,
   transport_hello = 80,
   transport_proof = 81,
   transport_heartbeat = 82,
   transport_relay = 83,
+  condition_report = 90,
 };
 
 } // namespace kingcupshunt::peer
--- a/include/kingcupshunt/rates/limit.h
+++ b/include/kingcupshunt/rates/limit.h
@@ -21,8 +21,9 @@
 /// holder asked for it.
 inline constexpr base::milliseconds token_lifetime{1000};
 
-/// Time after which an instance that missed an acknowledged change is certainly not fresh.
-inline constexpr base::milliseconds freshness_bound{2000};
+/// Age of an owner's view beyond which it grants nothing. Half the lifetime of freshness for keys:
+/// a new owner waits for it, and its workspaces are refused meanwhile.
+inline constexpr base::milliseconds freshness_bound{1000};
 
 /// A duration lengthened so that it has passed on every clock within the drift bound. 3 % covers a
 /// holder that is 1 % slow and an owner that is 1 % fast, with a margin.
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -19,9 +19,20 @@
   return "line " + std::to_string(line) + ", column " + std::to_string(column);
 }
 
+// merge_patch recurses once for each level.
+constexpr int max_depth = 32;
+
 result<json> parse_file(const std::string& name, const std::string& text) {
+  bool is_too_deep = false;
+  const auto check_depth = [&](int depth, json::parse_event_t, json&) {
+    is_too_deep = is_too_deep || depth > max_depth;
+    return !is_too_deep;
+  };
   try {
-    auto parsed = json::parse(text, nullptr, true, true);
+    auto parsed = json::parse(text, check_depth, true, true);
+    if (is_too_deep) {
+      return error{error_code::out_of_range, name, "", "more than 32 levels of nesting"};
+    }
     if (!parsed.is_object()) {
       return error{error_code::wrong_type, name, "",
                    std::string("found ") + parsed.type_name() + ", allowed is an object"};
@@ -29,6 +40,8 @@
     return parsed;
   } catch (const json::parse_error& e) {
     return error{error_code::not_json, name, "", position_of(text, e.byte)};
+  } catch (const json::exception&) {
+    return error{error_code::out_of_range, name, "", "a number is too large"};
   }
 }
 
@@ -68,11 +81,16 @@
 }
 
 std::string file_stating(const files& all, const std::string& pointer) {
-  json::json_pointer at(pointer);
+  json::json_pointer at;
+  try {
+    at = json::json_pointer(pointer);
+  } catch (const json::exception&) {
+    return {};
+  }
   while (true) {
     for (auto it = all.rbegin(); it != all.rend(); ++it) {
-      const auto parsed = json::parse(it->second, nullptr, false, true);
-      if (!parsed.is_discarded() && parsed.contains(at)) {
+      const auto parsed = parse_file(it->first, it->second);
+      if (parsed && parsed.value().contains(at)) {
         return it->first;
       }
     }
--- a/src/config/snapshot.cpp
+++ b/src/config/snapshot.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "entity_reader.h"
+#include "kingcupshunt/config/object_reader.h"
 
 namespace kingcupshunt::config {
 
@@ -169,7 +170,7 @@
 result<snapshot::changes> snapshot::read_changes(const json& delta) const {
   for (const auto& [name, value] : delta.items()) {
     if (name != "services" && name != "routes" && name != "workspaces" && name != "keys") {
-      return error{error_code::unknown_member, "", "/" + name,
+      return error{error_code::unknown_member, "", "/" + escape_pointer_token(name),
                    "allowed are services, routes, workspaces and keys"};
     }
   }
--- a/src/node/address_book.cpp
+++ b/src/node/address_book.cpp
@@ -63,8 +63,7 @@
     return out;
   }
   const auto status = fleet_.detector().status_of(member.id);
-  out.is_alive = member.is_active && (status == membership::member_status::alive ||
-                                      status == membership::member_status::suspect);
+  out.is_alive = member.is_active && status == membership::member_status::alive;
   out.is_leaving = status == membership::member_status::left;
   const auto it = known_.find(member.id);
   if (it != known_.end() && now - it->second.received < report_lifetime) {
--- a/src/node/fleet_state.cpp
+++ b/src/node/fleet_state.cpp
@@ -17,6 +17,9 @@
 
 constexpr base::milliseconds join_interval{500};
 constexpr base::seconds read_timeout{2};
+constexpr base::seconds freshness_lifetime{2};
+// Owners of rates act only on a view of at most 1 s; queries every 400 ms left too little margin.
+constexpr base::milliseconds freshness_period{200};
 constexpr base::seconds view_change_timeout{5};
 
 membership::fleet_member own_member(const settings::process_settings& s) {
@@ -85,6 +88,8 @@
   fresh.incarnation = static_cast<std::uint32_t>(rt_.incarnation);
   fresh.started_at = now;
   fresh.seed = rt_.seed;
+  fresh.lifetime = freshness_lifetime;
+  fresh.period = freshness_period;
   membership::freshness_hooks on_fresh;
   on_fresh.on_behind = [this](std::string_view peer, std::uint64_t revision) {
     follower_->on_behind(peer, revision, base::clock::now());
@@ -174,6 +179,11 @@
   hooks_.on_view(view_, now);
 }
 
+bool fleet_state::is_fresh_within(base::duration age, base::time_point now) const {
+  const auto margin = base::shorten_by_drift(freshness_lifetime) - base::shorten_by_drift(age);
+  return is_fresh(now) && freshness_->fresh_until() - now >= margin;
+}
+
 bool fleet_state::is_view_held(std::uint64_t version) const {
   return view_.version > version ||
          (view_.version == version && freshness_->is_held_by_majority(view_revision_));
@@ -290,6 +300,11 @@
     if (const auto joining = joining_.find(member.id); joining != joining_.end()) {
       it.info = joining->second;
     }
+    const bool is_silent = detector_->status_of(member.id) == membership::member_status::suspect;
+    if (is_silent && hooks_.is_unreachable(member.id)) {
+      // No answer through others either, and nothing accepts connections there.
+      it.state = observed_state::dead;
+    }
     const auto changed = changed_at_.find(member.id);
     it.since = changed == changed_at_.end() ? base::time_point{} : changed->second;
     if (changed == changed_at_.end() && it.state != observed_state::alive) {
--- a/src/node/fleet_state.h
+++ b/src/node/fleet_state.h
@@ -24,6 +24,8 @@
   std::function<void(const membership::fleet_view&, base::time_point)> on_view;
   std::function<void(const membership::path_fault&)> on_path_fault;
   std::function<void(base::duration)> on_disk_time;
+  /// Whether the last try to connect to a peer failed.
+  std::function<bool(std::string_view peer)> is_unreachable;
 };
 
 /// Answer to an operator's change.
@@ -50,6 +52,9 @@
   const membership::fleet_view& view() const noexcept { return view_; }
   std::uint64_t revision() const noexcept { return follower_->revision(); }
   bool is_fresh(base::time_point now) const { return freshness_->is_fresh(now); }
+  /// Whether every change held by a majority up to `age` ago is applied here; stricter than
+  /// is_fresh.
+  bool is_fresh_within(base::duration age, base::time_point now) const;
   bool is_synced() const { return freshness_->is_synced(); }
   bool is_view_held(std::uint64_t version) const;
   bool is_leaving() const noexcept { return is_leaving_; }
--- a/src/node/instance.cpp
+++ b/src/node/instance.cpp
@@ -1,6 +1,7 @@
 #include "kingcupshunt/node/instance.h"
 
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -95,6 +96,7 @@
   std::unique_ptr<control::http_server> announce_server;
   std::unique_ptr<control::http_server> operator_server;
   membership::self_watch self_watch;
+  std::set<std::string, std::less<>> unreachable; ///< peers whose last connection failed
   base::time_point tick_due{};
   int ticks = 0;
   bool was_ready = false;
@@ -112,8 +114,14 @@
   transport->on_message([this](std::string_view from, message_kind kind, std::string body) {
     dispatch(from, kind, body);
   });
-  transport->on_connect_result(
-      [this](std::string_view, bool is_connected) { self_watch.add_send(is_connected); });
+  transport->on_connect_result([this](std::string_view peer, bool is_connected) {
+    self_watch.add_send(is_connected);
+    if (is_connected) {
+      unreachable.erase(std::string(peer));
+    } else {
+      unreachable.emplace(peer);
+    }
+  });
 
   fleet_state_hooks hooks;
   hooks.on_configuration = [this](base::time_point at) {
@@ -129,6 +137,9 @@
                fault.cut == membership::path_direction::none ? "path_restored" : "path_cut",
                "direction=" + std::to_string(static_cast<int>(fault.cut)), 0});
   };
+  hooks.is_unreachable = [this](std::string_view peer) {
+    return unreachable.contains(peer) && !transport->is_connected(peer);
+  };
   hooks.on_disk_time = [this](base::duration time) { self_watch.add_disk_time(time); };
   auto opened = fleet_state::open(rt, std::move(hooks), now);
   if (!opened) {
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -96,7 +96,9 @@
     const auto found = fleet_.configuration().find_workspace(workspace);
     return found ? std::optional(rates::limit{found->rate, found->burst}) : std::nullopt;
   };
-  on_own.is_fresh = [this] { return fleet_.is_fresh(base::clock::now()); };
+  on_own.is_fresh = [this] {
+    return fleet_.is_fresh_within(rates::freshness_bound, base::clock::now());
+  };
   on_own.is_view_held = [this](std::uint64_t version) { return fleet_.is_view_held(version); };
   on_own.on_decision = decide;
   on_own.on_count = count;
--- a/src/proxy/request_run.h
+++ b/src/proxy/request_run.h
@@ -51,6 +51,7 @@
   bool start_try();
   awaitable<bool> start_first_try();
   awaitable<bool> start_retry();
+  awaitable<bool> try_after_shed(const health::attempt& last);
   awaitable<void> wait_settled();
   void start_hedge();
   void start_checks(base::time_point now);
@@ -99,6 +100,7 @@
   std::optional<stored_answer> replay_;
 
   std::vector<std::string> tried_;
+  std::vector<std::string> full_; ///< of the tried ones, those that refused as full
   std::vector<attempt_pair> live_;
   exchange_ptr fallback_; ///< whole answer with an error status, given when no try does better
   std::optional<refusal> failure_;
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -38,7 +38,8 @@
   }
 }
 
-constexpr base::milliseconds busy_pause{5}; // about the time in which a slot is freed
+constexpr base::milliseconds busy_pause{5};  // about the time in which a slot is freed
+constexpr base::milliseconds full_pause{20}; // as the balancer leaves a full server alone
 
 bool is_error_answer(const exchange& ex) {
   return ex.end() == attempt_end::error_status || ex.end() == attempt_end::shed;
@@ -145,6 +146,10 @@
     co_return false;
   }
   const auto last = *std::exchange(failed_, std::nullopt);
+  if (last.end == attempt_end::shed) {
+    const bool is_requeued = co_await try_after_shed(last);
+    co_return is_requeued;
+  }
   const bool was_not_sent = last.end == attempt_end::connect_failed;
   const bool is_allowed =
       out_->is_resendable || (was_not_sent && !may_have_run_ && body_bytes_ == 0);
@@ -163,6 +168,36 @@
   co_return true;
 }
 
+/// A server that was full did not run the request, so it goes to another one, or waits until the
+/// full ones may have a free slot again. This takes nothing from the retry budget: it adds no work
+/// to any server.
+awaitable<bool> request_run::try_after_shed(const health::attempt& last) {
+  if (may_have_run_ || out_->is_streamed) {
+    co_return false;
+  }
+  --tries_;
+  full_.push_back(last.upstream);
+  auto before = std::exchange(failure_, std::nullopt);
+  for (;;) {
+    const bool is_planned = co_await plan_try();
+    if (is_planned && start_try()) {
+      context_.metrics.count_retry("shed");
+      co_return true;
+    }
+    const auto next = base::clock::now() + full_pause;
+    if (!is_planned || next >= auth_.deadline || caller_->is_gone) {
+      failure_ = std::move(before);
+      co_return false;
+    }
+    co_await wake_->wait_until(next);
+    for (const auto& id : full_) {
+      std::erase(tried_, id);
+    }
+    full_.clear();
+    failure_.reset();
+  }
+}
+
 void request_run::start_hedge() {
   hedge_at_.reset();
   const auto failure = failure_;
--- a/tests/config/snapshot_test.cpp
+++ b/tests/config/snapshot_test.cpp
@@ -114,3 +114,19 @@
   CHECK(after.find_route("h", "GET", "/fit")->priority == config::request_class::deferrable);
   CHECK(after.find_workspace("optician-1")->weight == 2.5);
 }
+
+TEST_CASE("numbers, names and nesting that break a JSON library are refused") {
+  auto all = base_files();
+  all["20.json"] = R"({"workspaces": {"optician-1": {"rate": 1e999}}})";
+  CHECK(error_of(all).code == config::error_code::out_of_range);
+  all["20.json"] = R"({"a~b": {}})";
+  CHECK(error_of(all).code == config::error_code::unknown_member);
+  all["20.json"] = R"({"routes": {"a~/b": {"service": "fitting", "prefix": "/x"}}})";
+  CHECK(error_of(all).code == config::error_code::out_of_range);
+  std::string deep = R"({"a": )";
+  for (int i = 0; i < 100'000; ++i) {
+    deep += R"({"a": )";
+  }
+  all["20.json"] = deep;
+  CHECK(!config::parse(all));
+}
--- a/tests/proxy/retries_test.cpp
+++ b/tests/proxy/retries_test.cpp
@@ -74,6 +74,7 @@
   backend one(always(shed));
   backend two(always(ok_answer("two")));
   fixture f({one.id(), two.id()});
+  f.service.timeout = base::milliseconds(500);
   f.start();
   CHECK(f.get().body == "two");
   REQUIRE(eventually([&] { return f.log().reports.size() == 2; }));
