Count a crash on a reused connection, mend lint findings

Cause: a server that died with a request on a reused connection was reported as a failed connect, so the request was no suspect; the new process test lost three of four servers to one request.

--- a/include/kingcupshunt/admission/quantile_estimate.h
+++ b/include/kingcupshunt/admission/quantile_estimate.h
@@ -22,7 +22,6 @@
   double linear(std::size_t i, int step) const noexcept;
 
   static constexpr std::size_t markers = 5;
-  double quantile_;
   std::uint64_t count_ = 0;
   std::array<double, markers> heights_{};
   std::array<double, markers> positions_{1, 2, 3, 4, 5};
--- a/src/admission/quantile_estimate.cpp
+++ b/src/admission/quantile_estimate.cpp
@@ -4,7 +4,7 @@
 
 namespace kingcupshunt::admission {
 
-quantile_estimate::quantile_estimate(double quantile) : quantile_(quantile) {
+quantile_estimate::quantile_estimate(double quantile) {
   desired_ = {1, 1 + 2 * quantile, 1 + 4 * quantile, 3 + 2 * quantile, 5};
   steps_ = {0, quantile / 2, quantile, (1 + quantile) / 2, 1};
 }
--- a/src/node/instance.cpp
+++ b/src/node/instance.cpp
@@ -111,7 +111,7 @@
   peers.listen_address = settings.peer.to_string();
   peers.seed = rt.seed + 5;
   transport = std::make_unique<peer::transport>(io, std::move(peers));
-  transport->on_message([this](std::string_view from, message_kind kind, std::string body) {
+  transport->on_message([this](std::string_view from, message_kind kind, const std::string& body) {
     dispatch(from, kind, body);
   });
   transport->on_connect_result([this](std::string_view peer, bool is_connected) {
--- a/src/node/prober.cpp
+++ b/src/node/prober.cpp
@@ -18,7 +18,7 @@
 using boost::system::error_code;
 
 constexpr unsigned first_error_status = 400;
-constexpr std::uint64_t answer_limit_bytes = 64 * 1024;
+constexpr std::uint64_t answer_limit_bytes = std::uint64_t{64} * 1024;
 
 // One probe; keeps itself alive through its callbacks.
 class probe_call : public std::enable_shared_from_this<probe_call> {
--- a/src/node/traffic_hooks.cpp
+++ b/src/node/traffic_hooks.cpp
@@ -95,7 +95,11 @@
     suspects_->abandon(fingerprint, base::clock::now());
   };
   out.settle_try = [this](const health::attempt& a, std::function<void()> done) {
-    suspects_->end(a.fingerprint, a.upstream, a.end, base::clock::now(), std::move(done));
+    // A reused connection that ended says nothing against the server, but it may have crashed.
+    const auto end = a.end == health::attempt_end::stale_connection
+                         ? health::attempt_end::closed_unanswered
+                         : a.end;
+    suspects_->end(a.fingerprint, a.upstream, end, base::clock::now(), std::move(done));
   };
   out.report = [this](const proxy::authorized_request& request, const health::attempt& a) {
     report(request, a);
@@ -329,7 +333,8 @@
   if (a.end == health::attempt_end::shed) {
     queue_of(*request.service, now).note_shed(now);
   }
-  if (a.end == health::attempt_end::closed_unanswered || a.end == health::attempt_end::truncated) {
+  if (a.end == health::attempt_end::closed_unanswered || a.end == health::attempt_end::truncated ||
+      a.end == health::attempt_end::stale_connection) {
     check_death(a);
   }
 }
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -65,9 +65,16 @@
 
 awaitable<void> exchange::run_tries() {
   auto need = need_;
+  bool has_lost_request = false;
   do {
     co_await run_once(need);
     need = connection_need::fresh;
+    if (has_lost_request && end_ == attempt_end::connect_failed) {
+      // The connection ended with the request on it and the server accepts no new one: it died,
+      // and the request may be the cause.
+      end_ = attempt_end::closed_unanswered;
+    }
+    has_lost_request = end_ == attempt_end::stale_connection && was_sent_;
     if (end_ == attempt_end::stale_connection) {
       context_.pool.renew(target_.id);
       context_.metrics.count("upstream_stale_connections_total", "failed_in_use");
