--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -34,7 +34,7 @@
 /// A fleet of real processes on loopback addresses, with its configuration folder and secrets.
 class fleet {
 public:
-  /// `network` is the third part of the 127.0.x.y addresses, so that tests do not collide.
+  /// `network` is the third part of the addresses, so that the cases of one run do not collide.
   explicit fleet(int network, int instances = 3) : network_(network) {
     auto name = (std::filesystem::temp_directory_path() / "kcs-fleet-XXXXXX").string();
     if (mkdtemp(name.data()) == nullptr) {
@@ -63,7 +63,9 @@
 
   static std::string id(int i) { return "e" + std::to_string(i); }
   std::string address(int i) const {
-    return "127.0." + std::to_string(network_) + "." + std::to_string(i);
+    // Two runs at the same time on one machine must not meet.
+    const auto run = std::to_string(16 + getpid() % 200);
+    return "127." + run + "." + std::to_string(network_) + "." + std::to_string(i);
   }
   std::string entry(int i) const { return address(i) + ":8080"; }
   std::string announce(int i) const { return address(i) + ":8081"; }
