Write files of the data folder whole in one place

Cause: the folder task and the log store both wrote a temporary file, synced and renamed it; the folder task emptied a leftover with an ignored error, so that a failed truncation could have put old bytes before the new ones. Not run again: sanitizers.

--- a/include/kingcupshunt/storage/file_system.h
+++ b/include/kingcupshunt/storage/file_system.h
@@ -47,6 +47,11 @@
   virtual result<std::shared_ptr<void>> lock(const std::string& path) = 0;
 };
 
+/// Puts `content` durably in place of the file `name` in `folder`. After an error or a crash the
+/// file has either its former content or the new one.
+result<void> write_whole(file_system& files, const std::string& folder, const std::string& name,
+                         const std::string& content);
+
 /// The operating system's files.
 std::shared_ptr<file_system> make_system_files();
 
--- a/src/node/folder_task.cpp
+++ b/src/node/folder_task.cpp
@@ -125,15 +125,10 @@
 
 // A base that is lost costs nothing but a comparison: what the fleet holds already is no change.
 void folder_task::store_base() {
-  const auto files = storage::make_system_files();
-  const auto path = rt_.settings.data_folder + "/" + base_file;
-  const auto temporary = path + ".tmp";
-  if (files->truncate(temporary, 0)) {
-  }
-  auto file = files->open(temporary);
-  if (!file || !file.value()->write(to_text(base_)) || !file.value()->sync() ||
-      !files->rename(temporary, path) || !files->sync_folder(rt_.settings.data_folder)) {
-    observe::log_error("folder_base_not_stored", {{"file", path}});
+  const auto stored = storage::write_whole(*storage::make_system_files(), rt_.settings.data_folder,
+                                           base_file, to_text(base_));
+  if (!stored) {
+    observe::log_error("folder_base_not_stored", {{"error", storage::describe(stored.error())}});
   }
 }
 
--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -267,14 +267,7 @@
 }
 
 result<void> log_store::write_whole(const std::string& name, const std::string& content) {
-  const auto temporary = path(name + ".tmp");
-  {
-    BOOST_OUTCOME_TRY(out, files_->open(temporary));
-    BOOST_OUTCOME_TRY(out->write(content));
-    BOOST_OUTCOME_TRY(out->sync());
-  }
-  BOOST_OUTCOME_TRY(files_->rename(temporary, path(name)));
-  return files_->sync_folder(settings_.folder);
+  return storage::write_whole(*files_, settings_.folder, name, content);
 }
 
 result<void> log_store::save_snapshot(const consensus::snapshot& s) {
