--- a/include/kingcupshunt/base/time.h
+++ b/include/kingcupshunt/base/time.h
@@ -10,6 +10,17 @@
 using time_point = clock::time_point;
 using duration = clock::duration;
 
+/// Monotonic clock that also counts the time in which the machine was suspended. Leases run on it:
+/// the steady clock stands still during a suspension.
+struct boot_clock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<boot_clock>;
+  static constexpr bool is_steady = true;
+  static time_point now() noexcept;
+};
+
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/include/kingcupshunt/config/entities.h
+++ b/include/kingcupshunt/config/entities.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,17 +23,30 @@
   std::uint32_t max_connections = 330; ///< per upstream, over all instances
 };
 
+/// One part of a route that is divided between services.
+struct route_part {
+  std::string service;
+  double weight = 0; ///< share of the requests, relative to the other parts
+};
+
 struct route {
   std::string name;
-  std::string service;
+  std::string service;              ///< not used when the route has parts
+  std::vector<route_part> parts;    ///< services that share the requests by weight
   std::string host;                 ///< empty: any host
   std::string prefix;               ///< path prefix by whole segments, starts with '/'
   std::vector<std::string> methods; ///< empty: any method
   bool is_open = false;             ///< served without a key
   bool is_repeatable = true;        ///< false: at most once for an idempotency key
+  /// False: a request that may not be repeated runs at most once for each attempt of its caller,
+  /// and no key that spans attempts is asked for.
+  bool needs_idempotency_key = true;
   bool is_hedged = false;           ///< a late lookup may be sent a second time
   request_class priority = request_class::normal;
   base::milliseconds timeout{0};           ///< 0: the service's timeout
+  base::milliseconds objective{0};         ///< latency objective, 0: none
+  std::uint32_t max_tries = 0;             ///< upstreams of one request, 0: the entry's setting
+  std::uint32_t rank = 1;                  ///< 0 is served first when a service is short of room
   std::uint64_t body_limit = 64ULL << 20U; ///< bytes
 };
 
@@ -41,6 +55,16 @@
   double rate = 10;  ///< requests per second over the whole fleet
   double burst = 20; ///< requests
   double weight = 1; ///< share of a contended service
+  bool is_unlimited = false;         ///< no rate and burst
+  std::optional<std::uint32_t> rank; ///< goes before the rank of the route
+};
+
+/// Bounds on what callers send, for all routes.
+struct caller_limits {
+  std::uint64_t head_bytes = 16ULL << 10U;
+  std::uint64_t body_bytes = 64ULL << 20U;
+  base::milliseconds head_timeout{10000}; ///< from a request's first byte to its head's end
+  base::milliseconds idle_timeout{60000}; ///< connection between two requests
 };
 
 struct key {
--- a/include/kingcupshunt/config/snapshot.h
+++ b/include/kingcupshunt/config/snapshot.h
@@ -32,6 +32,10 @@
   const named<route>& routes() const noexcept { return routes_; }
   const named<workspace>& workspaces() const noexcept { return workspaces_; }
   const named<key>& keys() const noexcept { return keys_; }
+  const named<caller_limits>& limits() const noexcept { return limits_; }
+
+  /// Bounds named "entry", or null.
+  std::shared_ptr<const caller_limits> entry_limits() const;
 
   std::shared_ptr<const service> find_service(std::string_view name) const;
   std::shared_ptr<const workspace> find_workspace(std::string_view name) const;
@@ -64,6 +68,7 @@
   named<route> routes_;
   named<workspace> workspaces_;
   named<key> keys_;
+  named<caller_limits> limits_;
   std::unordered_map<std::string, std::shared_ptr<const key>> keys_by_digest_;
   // "host\nprefix" to the routes there, which differ in their methods.
   std::unordered_map<std::string, std::vector<std::shared_ptr<const route>>> routes_by_prefix_;
--- a/include/kingcupshunt/consensus/replica.h
+++ b/include/kingcupshunt/consensus/replica.h
@@ -117,6 +117,18 @@
   std::uint64_t applied_index() const noexcept { return applied_; }
   std::uint64_t last_index() const noexcept { return log_.last_index(); }
   const voter_set& voters() const noexcept { return voters_; }
+  /// Index of the entry that set the voters.
+  std::uint64_t voters_index() const noexcept { return voters_index_; }
+  /// This replica votes, with its present data folder.
+  bool is_voter() const noexcept;
+  /// Leads, or has heard the leader within an election timeout.
+  bool hears_leader(base::time_point now) const noexcept;
+  /// Leader only: when `id` was last heard; empty for unknown ids.
+  std::optional<base::time_point> last_heard(std::string_view id) const;
+  /// The last change of the voters is committed.
+  bool may_change_voters_now() const noexcept {
+    return role_ == role::leader && voters_index_ <= commit_ && commit_ >= term_start_;
+  }
   /// The last change of the voters is committed and none is joining. Only then may a second data
   /// folder be replaced.
   bool are_voters_settled() const noexcept {
@@ -159,7 +171,6 @@
   // replica.cpp
   void apply_committed(base::time_point now);
   void use_voters(voter_set set, std::uint64_t index);
-  bool is_voter() const noexcept;
   template <class T, class F>
   void dispatch(std::string_view body, F&& handle);
 
@@ -172,7 +183,6 @@
   void on_vote_answer(std::string_view from, const vote_answer& m, base::time_point now);
   void on_timeout_now(std::string_view from, const timeout_now& m, base::time_point now);
   void reset_election_timer(base::time_point now);
-  bool hears_leader(base::time_point now) const noexcept;
   bool has_quorum_contact(base::time_point now) const;
   void fail_reads();
 
--- /dev/null
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "kingcupshunt/base/time.h"
+#include "kingcupshunt/fleet/document_log.h"
+#include "kingcupshunt/fleet/messages.h"
+#include "kingcupshunt/fleet/server_table.h"
+
+namespace kingcupshunt::fleet {
+
+struct control_settings {
+  std::string self; ///< id of this instance, by which the others reach it
+  std::string store;
+  std::uint64_t start = 1; ///< random number of this process, not 0
+  base::duration beat_interval = base::milliseconds(1500); ///< of announcements
+  base::duration share_timeout = base::milliseconds(900);  ///< for a majority's acknowledgement
+  base::duration entry_timeout = base::milliseconds(1800); ///< an unheard entry is not handed out
+  base::duration contact_timeout = base::milliseconds(2500); ///< out of touch after this
+  base::duration voter_timeout_even = base::seconds(6);  ///< a lost voter of an even number
+  base::duration voter_timeout_odd = base::seconds(30);  ///< a lost voter of an odd number
+};
+
+struct control_hooks {
+  peer::send_function send;
+  /// Parses the text of a document into the merged configuration.
+  std::function<document_result<nlohmann::json>(const std::string& text)> parse;
+  std::function<bool(std::string_view peer)> is_connected;
+  std::function<void(std::string_view event, std::string_view detail)> log; ///< may be empty
+};
+
+/// An entry instance as a control instance knows it.
+struct known_entry {
+  std::string address; ///< "ip:port" for callers
+  std::string data_centre;
+  bool is_ready = false;
+  bool is_leaving = false;
+  base::time_point heard_at{};
+};
+
+/// What a control instance does besides the replicated log, without input or output: it hears the
+/// announcements of backend servers, keeps the entry instances informed, tells callers which entry
+/// instances to use, relays load, and keeps the set of voters whole.
+class control_core {
+public:
+  control_core(control_settings settings, control_hooks hooks);
+
+  /// Connects the log; called once before anything else.
+  void set_log(document_log* log) { log_ = log; }
+
+  /// The log has a newer document.
+  void on_document(const versioned_document& document);
+
+  /// Takes an announcement. `done(true)`: it is known where it matters, so that a server that
+  /// leaves gets no new request from then on. `done(false)`: this instance can't say so.
+  void announce(server_record record, std::function<void(bool)> done, base::time_point now);
+
+  /// Record of a farewell that names only the id; empty when the id is not known here.
+  std::optional<server_record> farewell(std::string_view id) const;
+
+  void receive(std::string_view from, peer::message_kind kind, std::string_view body,
+               base::time_point now);
+  void tick(base::time_point now);
+
+  /// Addresses of entry instances for callers, those that can serve.
+  std::vector<std::string> entry_addresses(base::time_point now) const;
+
+  /// Ids of the other control instances known.
+  std::vector<std::string> control_ids() const;
+  void add_control(std::string_view id);
+
+  /// In contact with a majority of the control instances.
+  bool is_in_touch(base::time_point now) const;
+
+  const server_table& servers() const noexcept { return table_; }
+  const std::map<std::string, known_entry, std::less<>>& entries() const noexcept {
+    return entries_;
+  }
+  std::uint64_t malformed_messages() const noexcept { return malformed_; }
+
+private:
+  struct pending_share {
+    std::set<std::string, std::less<>> acked;
+    base::time_point until{};
+    base::time_point resend{};
+    record_share message;
+    std::function<void(bool)> done;
+  };
+  struct past_document {
+    std::uint64_t version = 0;
+    nlohmann::json content;
+  };
+  struct relayed_load {
+    std::map<std::string, std::map<std::string, std::uint32_t, std::less<>>, std::less<>>
+        by_server; ///< server to entry to requests in flight
+    std::set<std::string, std::less<>> changed;
+    std::map<std::string, std::vector<failure_note>, std::less<>> failures; ///< by reporter
+    std::map<std::string, base::time_point, std::less<>> heard; ///< last report of each entry
+  };
+
+  void on_ask(std::string_view from, const entry_ask& ask, base::time_point now);
+  void on_fetch(std::string_view from, const document_fetch& fetch);
+  void on_share(std::string_view from, const record_share& share, base::time_point now);
+  void on_share_ack(std::string_view from, const record_share_ack& ack);
+  void on_join(std::string_view from, const control_join& join, base::time_point now);
+  void on_pulse(std::string_view from, const load_report& report, base::time_point now);
+  void share(const std::string& id, bool is_leaving, std::function<void(bool)> done,
+             base::time_point now);
+  void push_changes();
+  void flush_loads();
+  void forget_load(std::string_view id);
+  void check_shares(base::time_point now);
+  void keep_voters(base::time_point now);
+  void remove_lost_voter(base::time_point now);
+  bool has_majority(const pending_share& p) const;
+  std::size_t count_entries(base::time_point now) const;
+  void log(std::string_view event, std::string_view detail) const;
+
+  control_settings settings_;
+  control_hooks hooks_;
+  document_log* log_ = nullptr;
+  server_table table_;
+  std::uint64_t pushed_ = 0; ///< table position that was pushed to the entries
+  std::map<std::string, known_entry, std::less<>> entries_;
+  std::set<std::string, std::less<>> controls_;
+  std::deque<past_document> documents_; ///< newest last
+  std::map<std::uint64_t, pending_share> shares_;
+  std::uint64_t next_call_ = 0;
+  std::map<std::string, base::time_point, std::less<>> joins_;
+  relayed_load loads_;
+  base::time_point in_touch_at_{};
+  base::time_point join_at_{};
+  base::time_point flush_at_{};
+  base::time_point slow_tick_at_{};
+  std::uint64_t malformed_ = 0;
+};
+
+} // namespace kingcupshunt::fleet
--- /dev/null
+++ b/include/kingcupshunt/fleet/entry_link.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "kingcupshunt/base/time.h"
+#include "kingcupshunt/config/snapshot.h"
+#include "kingcupshunt/fleet/entry_lease.h"
+#include "kingcupshunt/fleet/messages.h"
+#include "kingcupshunt/fleet/server_table.h"
+#include "kingcupshunt/peer/message.h"
+
+namespace kingcupshunt::fleet {
+
+struct entry_link_settings {
+  std::string self;
+  std::string entry_address;
+  std::string data_centre;
+  base::duration lease = base::seconds(3); ///< see entry_lease
+  base::duration ask_interval = base::milliseconds(500);
+  base::duration first_ask_interval = base::milliseconds(100); ///< until the lease is valid
+  base::duration fetch_timeout = base::milliseconds(300);
+  base::duration relay_timeout = base::milliseconds(1200); ///< an unheard control is no relay
+  base::duration forget_control = base::seconds(30); ///< one that is neither seed nor voter
+};
+
+struct entry_link_hooks {
+  peer::send_function send;
+  std::function<bool()> is_ready;   ///< told to the control instances, for callers
+  std::function<bool()> is_leaving; ///< a planned stop has begun
+  std::function<void(const server_record&)> on_server;
+  std::function<void(const config::snapshot&)> on_document;
+  std::function<void()> on_controls; ///< the control instances or voters changed
+  std::function<void(std::string_view event, std::string_view detail)> log; ///< may be empty
+};
+
+/// An entry instance's side of the control plane, without input or output: asks all control
+/// instances, follows document and servers, and holds the lease on which keys are accepted.
+class entry_link {
+public:
+  entry_link(entry_link_settings settings, entry_link_hooks hooks);
+
+  /// Control instances named by the settings; the voters are added to them.
+  void set_seeds(std::vector<std::string> seeds);
+
+  void receive(std::string_view from, peer::message_kind kind, std::string_view body,
+               base::time_point now);
+  void tick(base::time_point now);
+  /// Asks all control instances with the next tick, so that they learn of a change here.
+  void ask_now() noexcept { ask_at_ = {}; }
+
+  bool is_fresh() const { return lease_.is_valid(base::boot_clock::now()); }
+  bool has_document() const noexcept { return version_ > 0; }
+  std::uint64_t version() const noexcept { return version_; }
+  const config::snapshot& configuration() const noexcept { return configuration_; }
+  const entry_lease& lease() const noexcept { return lease_; }
+  std::set<std::string, std::less<>> controls() const;
+  /// Entry instances that the control instances know, this one included.
+  std::uint32_t entry_count() const noexcept { return entry_count_; }
+  /// Control instance that all entry instances in contact with it choose for load; may be empty.
+  std::string relay(base::time_point now) const;
+  std::uint64_t malformed_messages() const noexcept { return malformed_; }
+
+private:
+  struct control {
+    std::uint64_t table_start = 0;
+    std::uint64_t table_position = 0;
+    base::time_point heard_at{};
+    std::map<std::uint64_t, base::boot_clock::time_point> asked; ///< sequence to sending time
+  };
+
+  void ask_all(base::time_point now);
+  void on_answer(std::string_view from, const entry_answer& answer, base::time_point now);
+  void on_content(const document_content& content);
+  void take_table(control& c, const table_part& part, base::time_point now);
+  void fetch(std::string_view from, std::uint64_t version, base::time_point now);
+
+  entry_link_settings settings_;
+  entry_link_hooks hooks_;
+  std::vector<std::string> seeds_;
+  std::map<std::string, control, std::less<>> controls_;
+  server_table table_;
+  config::snapshot configuration_;
+  std::uint64_t version_ = 0;
+  entry_lease lease_;
+  std::uint64_t sequence_ = 0;
+  std::uint32_t entry_count_ = 1;
+  base::time_point ask_at_{};
+  base::time_point fetch_until_{};
+  std::uint64_t malformed_ = 0;
+  bool was_fresh_ = false;
+};
+
+} // namespace kingcupshunt::fleet
--- /dev/null
+++ b/include/kingcupshunt/fleet/messages.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <msgpack.hpp>
+
+#include "kingcupshunt/fleet/server_record.h"
+
+namespace kingcupshunt::fleet {
+
+/// Question of an entry instance to a control instance, and its sign of life (entry_ask).
+struct entry_ask {
+  std::uint64_t sequence = 0; ///< rises with each question of one process
+  std::string entry_address;  ///< "ip:port" for callers
+  std::string data_centre;
+  bool is_ready = false;
+  bool is_leaving = false;
+  std::uint64_t applied = 0;        ///< log index whose document is in force here
+  std::uint64_t table_start = 0;    ///< start of the control instance that `table_position` is of
+  std::uint64_t table_position = 0; ///< of its server table, as taken over here
+
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("q", sequence), MSGPACK_NVP("e", entry_address),
+                     MSGPACK_NVP("z", data_centre), MSGPACK_NVP("r", is_ready),
+                     MSGPACK_NVP("l", is_leaving), MSGPACK_NVP("a", applied),
+                     MSGPACK_NVP("ts", table_start), MSGPACK_NVP("tp", table_position))
+};
+
+/// Changes of one control instance's server table (in entry_answer, or alone as table_push).
+struct table_part {
+  std::uint64_t start = 0; ///< random number of the control instance's process
+  std::uint64_t from = 0;  ///< position after which these changes come
+  std::uint64_t to = 0;
+  std::vector<server_record> records;
+
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("s", start), MSGPACK_NVP("f", from), MSGPACK_NVP("t", to),
+                     MSGPACK_NVP("r", records))
+};
+
+/// Answer to entry_ask (entry_answer).
+struct entry_answer {
+  std::uint64_t sequence = 0; ///< of the question
+  bool is_voter = false;      ///< the sender votes with its present data folder
+  std::uint64_t held = 0;     ///< last log index that it holds, committed or not
+  std::uint64_t applied = 0;  ///< last log index that it has applied
+  std::uint64_t document = 0; ///< version of the document after `applied`
+  std::vector<std::string> voters;
+  std::uint64_t voters_index = 0; ///< log index that set the voters
+  std::uint32_t entries = 1;      ///< entry instances heard lately
+  table_part table;
+
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("q", sequence), MSGPACK_NVP("v", is_voter), MSGPACK_NVP("h", held),
+                     MSGPACK_NVP("a", applied), MSGPACK_NVP("d", document),
+                     MSGPACK_NVP("vs", voters), MSGPACK_NVP("vi", voters_index),
+                     MSGPACK_NVP("n", entries), MSGPACK_NVP("t", table))
+};
+
+/// A control instance has applied a further document (commit_notice).
+struct commit_notice {
+  std::uint64_t document = 0;
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("d", document))
+};
+
+/// Asks for the newest document (document_fetch).
+struct document_fetch {
+  std::uint64_t held = 0; ///< version that the asking instance holds, 0: none
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("h", held))
+};
+
+/// A document or what changed since the version asked with (document_content).
+struct document_content {
+  std::uint64_t applied = 0; ///< log index
+  std::uint64_t version = 0;
+  std::uint64_t base = 0; ///< version that `text` is a difference to; 0: the whole document
+  std::string text;       ///< JSON of config::make_delta
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", applied), MSGPACK_NVP("v", version), MSGPACK_NVP("b", base),
+                     MSGPACK_NVP("t", text))
+};
+
+/// Announcements for the other control instances (record_share).
+struct record_share {
+  std::uint64_t call = 0; ///< 0: no acknowledgement is wanted
+  std::vector<server_record> records;
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("c", call), MSGPACK_NVP("r", records))
+};
+
+/// The records of a share are merged (record_share_ack).
+struct record_share_ack {
+  std::uint64_t call = 0;
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("c", call))
+};
+
+/// A control instance that hears no leader asks to be taken in (control_join).
+struct control_join {
+  std::string store; ///< id of its data folder, for the log line only
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("s", store))
+};
+
+/// How a try failed, as far as others should avoid the server for it.
+enum class failure_kind : std::uint8_t {
+  reset = 0, ///< the connection was refused, or ended without a whole answer
+  error = 1, ///< an error answer
+  late = 2   ///< no answer for several times the usual time
+};
+
+} // namespace kingcupshunt::fleet
+
+MSGPACK_ADD_ENUM(kingcupshunt::fleet::failure_kind)
+
+namespace kingcupshunt::fleet {
+
+struct failure_note {
+  std::string server;
+  failure_kind kind = failure_kind::reset;
+  std::uint64_t fingerprint = 0; ///< of the request, 0: not known
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("s", server), MSGPACK_NVP("k", kind),
+                     MSGPACK_NVP("f", fingerprint))
+};
+
+struct server_load {
+  std::string server;
+  std::uint32_t in_flight = 0;
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("s", server), MSGPACK_NVP("n", in_flight))
+};
+
+/// An entry instance's requests in flight that changed, and failures since its last report
+/// (load_pulse); or the sums over all entry instances, as a relay passes them on (load_total).
+struct load_report {
+  std::vector<server_load> loads;
+  std::vector<failure_note> failures;
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("l", loads), MSGPACK_NVP("f", failures))
+};
+
+} // namespace kingcupshunt::fleet
--- a/include/kingcupshunt/peer/message_kind.h
+++ b/include/kingcupshunt/peer/message_kind.h
@@ -38,6 +38,17 @@
   transport_heartbeat = 82,
   transport_relay = 83,
   condition_report = 90,
+  entry_ask = 100,
+  entry_answer = 101,
+  table_push = 102,
+  commit_notice = 103,
+  document_fetch = 104,
+  document_content = 105,
+  record_share = 106,
+  record_share_ack = 107,
+  control_join = 108,
+  load_pulse = 109,
+  load_total = 110,
 };
 
 } // namespace kingcupshunt::peer
--- a/include/kingcupshunt/proxy/entry_server.h
+++ b/include/kingcupshunt/proxy/entry_server.h
@@ -46,6 +46,13 @@
   /// Sets who answers paths under /.kingcupshunt/. These need no key and are not admitted.
   void set_interceptor(interceptor answer);
 
+  /// From now on each answer closes its connection; new connections are still served.
+  void close_after_answers();
+
+  /// Takes over bounds on what callers send, for requests and waits that begin from now on.
+  void set_caller_limits(std::size_t head_bytes, base::milliseconds head_timeout,
+                         base::milliseconds idle_timeout);
+
   /// Accepts no further connections, closes idle ones, lets requests in flight finish until
   /// `deadline`, cuts the rest, and calls `done` with the number of connections cut.
   void stop(base::time_point deadline, std::function<void(std::size_t cut)> done);
--- a/include/kingcupshunt/proxy/entry_settings.h
+++ b/include/kingcupshunt/proxy/entry_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "kingcupshunt/base/time.h"
+#include "kingcupshunt/proxy/wire_names.h"
 
 namespace kingcupshunt::proxy {
 
@@ -36,6 +37,13 @@
   base::milliseconds upstream_idle_timeout{30000}; ///< pooled connection without a request
   base::milliseconds verified_for{1000};           ///< trust after a whole answer
   base::milliseconds silence_after{1000};          ///< reused connection without an answer
+  /// Time beyond the deadline in which the upstream's own answer to it may still arrive.
+  base::milliseconds answer_grace{0};
+  /// Bodies from this size are written while the answer is awaited, so that an upstream that
+  /// answers before it has read them is not waited for.
+  std::size_t parallel_write_bytes = std::size_t{2} * 1024;
+
+  wire_names names;
 };
 
 } // namespace kingcupshunt::proxy
--- a/include/kingcupshunt/proxy/head_checks.h
+++ b/include/kingcupshunt/proxy/head_checks.h
@@ -30,8 +30,10 @@
 std::optional<refusal> check_request(const request_header& head);
 
 /// Checks the framing of an upstream's answer. Returns what is wrong, or nullptr.
-/// `is_bodyless` is true for the answer to HEAD.
-const char* check_answer(const response_header& head, bool is_bodyless);
+/// `is_bodyless` is true for the answer to HEAD. `may_end_with_connection` allows a body without
+/// length, of which a truncation by an orderly close can't be seen.
+const char* check_answer(const response_header& head, bool is_bodyless,
+                         bool may_end_with_connection = false);
 
 /// Value of the Host field without port and in lower case; empty when it is not valid.
 std::string host_of(std::string_view field);
@@ -40,9 +42,10 @@
 /// dot or empty segments and encoded separators, by which two servers may read two paths.
 base::result<std::string, refusal> path_of(std::string_view target);
 
-/// Key of `Authorization: Bearer`. Errors: a refusal when the field is repeated. Empty without
+/// Key of `Authorization: SCHEME KEY`. Errors: a refusal when the field is repeated. Empty without
 /// the field or with another scheme.
-base::result<std::optional<std::string>, refusal> bearer_key_of(const request_header& head);
+base::result<std::optional<std::string>, refusal> bearer_key_of(const request_header& head,
+                                                                std::string_view scheme = "bearer");
 
 /// A refusal of a request that is not valid, status 400, not run.
 refusal bad_request(std::string reason, std::string message);
--- a/include/kingcupshunt/proxy/header_rewrite.h
+++ b/include/kingcupshunt/proxy/header_rewrite.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "kingcupshunt/proxy/head_checks.h"
+#include "kingcupshunt/proxy/wire_names.h"
 
 namespace kingcupshunt::proxy {
 
@@ -24,25 +25,26 @@
 inline constexpr std::size_t shortest_key = 8;
 
 /// Start line and end-to-end fields for the upstream, without the final blank line and without
-/// the deadline, which differs between tries. Drops Authorization, Expect, X-Kingcupshunt-* and
-/// every field whose name or value contains the key.
+/// the deadline, which differs between tries. Drops Authorization, Expect, X-Kingcupshunt-*, the
+/// headers that the entry sets itself and every field whose name or value contains the key.
 std::string upstream_head(const request_header& head, const std::optional<std::string>& key,
                           std::string_view workspace, std::string_view request_id,
-                          const body_framing& framing);
+                          const body_framing& framing, const wire_names& names = {});
 
-/// The deadline field and the blank line that end an upstream head.
-std::string deadline_field(std::int64_t remaining_ms);
+/// The fields that differ between tries, and the blank line that ends an upstream head.
+std::string try_fields(std::int64_t remaining_ms, std::string_view instance,
+                       const wire_names& names = {});
 
 /// The size line that comes before a chunk of `n` bytes.
 std::string chunk_size_line(std::size_t n);
 
 /// Status line and end-to-end fields of an upstream's answer with the blank line.
 std::string caller_head(const response_header& head, const body_framing& framing,
-                        std::string_view request_id, bool is_close);
+                        std::string_view request_id, bool is_close, const wire_names& names = {});
 
 /// A whole answer for a refusal. The body is left out for HEAD.
 std::string refusal_answer(const refusal& r, const std::string& request_id, bool is_head,
-                           bool is_close);
+                           bool is_close, const wire_names& names = {});
 
 /// A request id from a caller is kept when it is short, plain and does not contain the key.
 bool is_usable_request_id(std::string_view id, const std::optional<std::string>& key);
--- a/include/kingcupshunt/proxy/hooks.h
+++ b/include/kingcupshunt/proxy/hooks.h
@@ -19,7 +19,8 @@
 
 /// Where to send one try.
 struct upstream_target {
-  std::string id; ///< "ip:port"
+  std::string id;       ///< names the upstream in reports and pools
+  std::string instance; ///< id that the upstream itself is to confirm; may be empty
   std::string address;
   std::uint16_t port = 0;
 };
@@ -78,7 +79,11 @@
   /// Time after which a lookup may be sent a second time; empty when it may not.
   std::function<std::optional<base::duration>(const authorized_request&)> hedge_delay;
 
+  /// Takes the second try of a late lookup out of the retry budget. May be empty: always allowed.
+  std::function<bool(const authorized_request&)> take_hedge;
+
   /// Reserves the idempotency key of a non-repeatable request before its first byte is sent.
+  /// Empty: no reservations.
   std::function<void(const request_head&, const authorized_request&, std::uint64_t fingerprint,
                      std::function<void(decided<reservation>)> done)>
       reserve;
--- a/include/kingcupshunt/proxy/request_head.h
+++ b/include/kingcupshunt/proxy/request_head.h
@@ -20,6 +20,8 @@
   std::optional<std::string> bearer_key;
   std::optional<std::string> idempotency_key;
   std::optional<std::uint64_t> content_length; ///< empty: chunked or no body
+  std::optional<base::milliseconds> patience;  ///< how long the caller waits, when it says so
+  base::time_point arrived{};                  ///< when the head was read
 };
 
 /// A request whose route and workspace are known.
@@ -30,6 +32,7 @@
   base::time_point deadline;
   /// Time at which `hooks::admit` gave the turn; shared by the copies of one request.
   std::shared_ptr<base::time_point> turn_started{};
+  std::uint64_t serial = 0; ///< of the request on this instance, for those who count by request
 };
 
 } // namespace kingcupshunt::proxy
--- /dev/null
+++ b/include/kingcupshunt/settings/role_settings.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "kingcupshunt/base/time.h"
+
+namespace kingcupshunt::settings {
+
+/// "address:port" with the address to listen on; port 0: not used.
+struct listen_address {
+  std::string address;
+  std::uint16_t port = 0;
+
+  std::string to_string() const { return address + ":" + std::to_string(port); }
+};
+
+/// Bounds and shares that entry and control instances agree on.
+struct role_bounds {
+  base::duration lease = base::seconds(3);            ///< of an entry without a control majority
+  base::duration beat_interval = base::milliseconds(1500); ///< of backend servers
+  base::duration stop_grace = base::seconds(6);       ///< from the request to stop to a kill
+  base::duration address_lifetime = base::milliseconds(1500); ///< of an answer to callers
+  double retry_share = 0.2;                           ///< further tries for each request
+  double retry_slack = 50;                            ///< further tries of a service in a window
+  base::duration retry_window = base::seconds(10);
+};
+
+/// Settings of one process that plays a single role: entry or control.
+struct role_settings {
+  std::string id; ///< IP address, by which the other instances reach it
+  std::string data_centre;
+  std::string fleet = "kingcupshunt";
+  std::string fleet_secret; ///< of the connections between instances
+  listen_address peer;      ///< the port is the same on all instances
+  std::vector<std::string> seeds; ///< ids of control instances to begin with
+  bool is_first_start = false;    ///< control: the seeds found the replicated log
+  std::string data_folder;        ///< control: of the replicated log
+  listen_address entry;           ///< entry: callers
+  listen_address readiness;       ///< entry: health checks of the deployment
+  listen_address control;         ///< control: announcements and operators
+  listen_address directory;       ///< control: callers that ask for entries
+  listen_address metrics;
+  role_bounds bounds;
+};
+
+} // namespace kingcupshunt::settings
--- /dev/null
+++ b/src/balance/server_board.cpp
@@ -0,0 +1,328 @@
+#include "kingcupshunt/balance/server_board.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace kingcupshunt::balance {
+
+using health::attempt_end;
+
+namespace {
+
+/// Bounds of a server's slowness against its service, so that one odd answer decides nothing.
+constexpr double least_slowness = 0.5;
+constexpr double greatest_slowness = 12.0;
+/// A server without answers for this long is taken for as fast as the others again.
+constexpr base::seconds speed_memory{6};
+constexpr double service_gain = 0.02; ///< weight of a new answer in the mean time of a service
+constexpr double tie_width = 0.05;    ///< costs this close are chosen from at random
+
+std::optional<fleet::failure_kind> kind_of(attempt_end end) noexcept {
+  switch (end) {
+  case attempt_end::connect_failed:
+  case attempt_end::closed_unanswered:
+  case attempt_end::truncated:
+  case attempt_end::malformed:
+  case attempt_end::stale_connection:
+    return fleet::failure_kind::reset;
+  case attempt_end::error_status:
+    return fleet::failure_kind::error;
+  case attempt_end::timed_out:
+    return fleet::failure_kind::late;
+  default:
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+server_board::server_board(board_settings settings)
+    : settings_(std::move(settings)), rng_(settings_.seed) {}
+
+void server_board::set_record(const fleet::server_record& record, base::time_point now) {
+  auto& s = servers_[record.id];
+  const bool is_new = s.record.id.empty() || s.record.born_ms != record.born_ms;
+  if (!s.record.service.empty() && s.record.service != record.service) {
+    std::erase(services_[s.record.service].servers, record.id);
+  }
+  s.record = record;
+  if (is_new) {
+    s.outcomes = {};
+    s.mean_seconds = 0;
+    s.cold_until = now + base::milliseconds(record.cold_left_ms);
+  }
+  auto& all = services_[record.service].servers;
+  if (record.state == fleet::server_state::gone) {
+    std::erase(all, record.id);
+    if (s.own.empty()) {
+      servers_.erase(record.id);
+    }
+  } else if (std::ranges::find(all, record.id) == all.end()) {
+    all.push_back(record.id);
+  }
+}
+
+bool server_board::is_usable(const server& s) noexcept {
+  return s.record.state == fleet::server_state::ready;
+}
+
+std::uint32_t server_board::in_flight(const server& s) noexcept {
+  return static_cast<std::uint32_t>(s.own.size()) + s.others;
+}
+
+void server_board::decay(outcome_count& c, base::time_point now) const {
+  if (now <= c.at) {
+    return;
+  }
+  const double factor =
+      std::exp(-base::to_seconds(now - c.at) / base::to_seconds(settings_.memory));
+  c.failures *= factor;
+  c.successes *= factor;
+  c.at = now;
+}
+
+void server_board::add_failure(server& s, double weight, base::time_point now) {
+  decay(s.outcomes, now);
+  s.outcomes.failures += weight;
+}
+
+double server_board::failure_chance(const server& s, base::time_point now) const {
+  auto c = s.outcomes;
+  decay(c, now);
+  const double chance = c.failures / (c.failures + c.successes + settings_.prior);
+  return s.record.is_silent ? std::max(chance, settings_.silent_risk / (1 + c.successes)) : chance;
+}
+
+double server_board::slowness(const server& s, const service_state& of,
+                              base::time_point now) const {
+  double out = 1;
+  if (s.mean_seconds > 0 && of.mean_seconds > 0) {
+    out = std::clamp(s.mean_seconds / of.mean_seconds, least_slowness, greatest_slowness);
+    const double age = base::to_seconds(now - s.answered_at) / base::to_seconds(speed_memory);
+    out = 1 + (out - 1) * std::exp(-age);
+  } else if (now < s.cold_until) {
+    out = settings_.cold_factor;
+  }
+  return out;
+}
+
+double server_board::cost(const server& s, const service_state& of, bool is_repeatable,
+                          base::time_point now) const {
+  const double load = (in_flight(s) + 1.0) / std::max<std::uint32_t>(s.record.slots, 1);
+  const double risk = is_repeatable ? settings_.repeatable_risk : settings_.unrepeatable_risk;
+  const double distance =
+      s.record.data_centre == settings_.data_centre ? 0 : settings_.far_cost;
+  return load * slowness(s, of, now) + risk * failure_chance(s, now) + distance;
+}
+
+base::result<fleet::server_record, board_error>
+server_board::begin(std::string_view service, std::uint64_t request, bool is_repeatable,
+                    std::span<const std::string> tried, base::time_point now) {
+  const auto of = services_.find(service);
+  if (of == services_.end() || of->second.servers.empty()) {
+    return board_error::unknown_service;
+  }
+  server* best = nullptr;
+  double best_cost = 0;
+  std::uint64_t ties = 0;
+  bool is_busy = false;
+  for (const auto& id : of->second.servers) {
+    auto& s = servers_.find(id)->second;
+    if (!is_usable(s) || std::ranges::find(tried, id) != tried.end()) {
+      continue;
+    }
+    if (in_flight(s) >= s.record.slots + settings_.queued_per_server) {
+      is_busy = true;
+      continue;
+    }
+    const double c = cost(s, of->second, is_repeatable, now);
+    if (best == nullptr || c < best_cost - tie_width) {
+      best = &s;
+      best_cost = c;
+      ties = 1;
+    } else if (c < best_cost + tie_width && rng_.below(++ties) == 0) {
+      best = &s;
+      best_cost = std::min(best_cost, c);
+    }
+  }
+  if (best == nullptr) {
+    return is_busy ? board_error::all_busy : board_error::all_tried;
+  }
+  best->own[request] = {now, false};
+  return best->record;
+}
+
+double server_board::weight_of(fleet::failure_kind kind) const noexcept {
+  switch (kind) {
+  case fleet::failure_kind::reset:
+    return settings_.reset_weight;
+  case fleet::failure_kind::error:
+    return settings_.error_weight;
+  case fleet::failure_kind::late:
+    return settings_.late_weight;
+  }
+  return settings_.reset_weight;
+}
+
+void server_board::note_failure(server& s, fleet::failure_kind kind, std::uint64_t fingerprint,
+                                base::time_point now) {
+  add_failure(s, weight_of(kind), now);
+  failures_.push_back({s.record.id, kind, fingerprint});
+}
+
+void server_board::end(std::string_view id, std::uint64_t request, const health::attempt& a,
+                       base::time_point now) {
+  const auto it = servers_.find(id);
+  if (it == servers_.end()) {
+    return;
+  }
+  auto& s = it->second;
+  const auto run = s.own.find(request);
+  const bool was_late = run != s.own.end() && run->second.is_late;
+  if (run != s.own.end()) {
+    s.own.erase(run);
+  }
+  if (s.record.state == fleet::server_state::gone) {
+    if (s.own.empty()) {
+      servers_.erase(it);
+    }
+    return;
+  }
+  if (const auto kind = kind_of(a.end)) {
+    const bool is_known = was_late && *kind == fleet::failure_kind::late;
+    if (!is_known) {
+      note_failure(s, *kind, a.fingerprint, now);
+    }
+    return;
+  }
+  if (a.end == attempt_end::shed) {
+    // It is fuller than known here; the next load report corrects this.
+    s.others = std::max(s.others, s.record.slots);
+    return;
+  }
+  if (a.end != attempt_end::ok) {
+    return;
+  }
+  decay(s.outcomes, now);
+  s.outcomes.successes += 1;
+  s.outcomes.failures *= 0.5; // a success now says more than a failure before
+  const double seconds = base::to_seconds(a.total);
+  auto& of = services_[s.record.service];
+  s.mean_seconds = s.mean_seconds == 0
+                       ? seconds
+                       : s.mean_seconds + settings_.latency_gain * (seconds - s.mean_seconds);
+  s.answered_at = now;
+  of.mean_seconds = of.mean_seconds == 0
+                        ? seconds
+                        : of.mean_seconds + service_gain * (seconds - of.mean_seconds);
+}
+
+bool server_board::has_room(std::string_view service, base::time_point) const {
+  return free_slots(service) > 0;
+}
+
+std::uint32_t server_board::free_slots(std::string_view service) const {
+  const auto of = services_.find(service);
+  std::uint32_t n = 0;
+  if (of != services_.end()) {
+    for (const auto& id : of->second.servers) {
+      const auto& s = servers_.find(id)->second;
+      const auto busy = in_flight(s);
+      n += is_usable(s) && busy < s.record.slots ? s.record.slots - busy : 0;
+    }
+  }
+  return n;
+}
+
+std::uint32_t server_board::slots(std::string_view service) const {
+  const auto of = services_.find(service);
+  std::uint32_t n = 0;
+  if (of != services_.end()) {
+    for (const auto& id : of->second.servers) {
+      const auto& s = servers_.find(id)->second;
+      n += is_usable(s) ? s.record.slots : 0;
+    }
+  }
+  return n;
+}
+
+std::optional<base::duration> server_board::usual_time(std::string_view service) const {
+  const auto of = services_.find(service);
+  if (of == services_.end() || of->second.mean_seconds == 0) {
+    return std::nullopt;
+  }
+  return base::from_seconds(of->second.mean_seconds);
+}
+
+void server_board::take_total(const fleet::load_report& total, base::time_point now) {
+  for (const auto& load : total.loads) {
+    const auto it = servers_.find(load.server);
+    if (it != servers_.end()) {
+      it->second.others = load.in_flight;
+    }
+  }
+  for (const auto& note : total.failures) {
+    const auto it = servers_.find(note.server);
+    if (it != servers_.end()) {
+      add_failure(it->second, settings_.remote_weight * weight_of(note.kind), now);
+    }
+  }
+}
+
+void server_board::forget_others() {
+  for (auto& [id, s] : servers_) {
+    s.others = 0;
+  }
+}
+
+fleet::load_report server_board::take_report() {
+  fleet::load_report out;
+  for (auto& [id, s] : servers_) {
+    const auto n = static_cast<std::uint32_t>(s.own.size());
+    if (n != s.reported) {
+      s.reported = n;
+      out.loads.push_back({id, n});
+    }
+  }
+  out.failures = std::exchange(failures_, {});
+  return out;
+}
+
+fleet::load_report server_board::full_report() const {
+  fleet::load_report out;
+  for (const auto& [id, s] : servers_) {
+    out.loads.push_back({id, static_cast<std::uint32_t>(s.own.size())});
+  }
+  return out;
+}
+
+void server_board::tick(base::time_point now) {
+  for (auto& [id, s] : servers_) {
+    const auto of = services_.find(s.record.service);
+    if (s.own.empty() || of == services_.end() || of->second.mean_seconds == 0) {
+      continue;
+    }
+    const auto usual = base::from_seconds(of->second.mean_seconds * settings_.late_factor);
+    const auto limit = std::max(usual, settings_.least_late);
+    for (auto& [request, run] : s.own) {
+      if (!run.is_late && now - run.since > limit) {
+        run.is_late = true;
+        note_failure(s, fleet::failure_kind::late, 0, now);
+      }
+    }
+  }
+}
+
+std::vector<board_entry> server_board::entries(base::time_point now) const {
+  std::vector<board_entry> out;
+  for (const auto& [id, s] : servers_) {
+    const auto of = services_.find(s.record.service);
+    out.push_back({s.record, static_cast<std::uint32_t>(s.own.size()), s.others,
+                   failure_chance(s, now),
+                   of == services_.end() ? 1 : slowness(s, of->second, now)});
+  }
+  return out;
+}
+
+} // namespace kingcupshunt::balance
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -3,21 +3,16 @@
 #include <span>
 #include <string>
 
-namespace kingcupshunt::cli {
+#include "kingcupshunt/cli/exit_code.h"
 
-/// Exit codes of the program.
-enum exit_code : int {
-  exit_ok = 0,
-  exit_failed = 1,      ///< the command ran and its answer is no, or an instance ended on an error
-  exit_usage = 2,       ///< wrong arguments
-  exit_bad_input = 3,   ///< settings or configuration folder are invalid
-  exit_unreachable = 4, ///< the instance asked did not answer
-};
+namespace kingcupshunt::cli {
 
 using arguments = std::span<char*>;
 
 /// `args[0]` is the subcommand's name. Each returns an exit code.
 int run(arguments args);
+int entry(arguments args);
+int control(arguments args);
 int check(arguments args);
 int status(arguments args);
 int explain(arguments args);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -16,8 +16,10 @@
   int (*main)(cli::arguments);
 };
 
-constexpr std::array<subcommand, 5> subcommands = {{
+constexpr std::array<subcommand, 7> subcommands = {{
     {"run", "run one instance", cli::run},
+    {"entry", "run an entry instance with the settings of the platform", cli::entry},
+    {"control", "run a control instance with the settings of the platform", cli::control},
     {"check", "validate a configuration folder", cli::check},
     {"status", "show what an instance sees", cli::status},
     {"explain", "show the decisions about an upstream, request, workspace or instance",
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -103,7 +103,7 @@
 
 json make_delta(const json& before, const json& after) {
   auto delta = json::object();
-  for (const auto* name : {"services", "routes", "workspaces", "keys"}) {
+  for (const auto* name : {"services", "routes", "workspaces", "keys", "limits"}) {
     auto part = section_delta(section(before, name), section(after, name));
     if (!part.empty()) {
       delta[name] = std::move(part);
--- a/src/config/entity_reader.cpp
+++ b/src/config/entity_reader.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t max_name_length = 128;
 constexpr double max_rate = 10'000'000;
 constexpr std::int64_t max_timeout_ms = 600'000;
+constexpr std::uint32_t max_rank = 1000;
 
 bool is_name_char(char c) noexcept {
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
@@ -30,6 +31,23 @@
   }
 }
 
+void read_parts(object_reader& reader, const json& parts, std::vector<route_part>& out) {
+  if (!parts.is_array()) {
+    reader.fail(error_code::wrong_type, "parts", "allowed is a list of {service, weight}");
+    return;
+  }
+  for (const auto& part : parts) {
+    const bool is_part = part.is_object() && part.size() == 2 && part.contains("service") &&
+                         part["service"].is_string() && part.contains("weight") &&
+                         part["weight"].is_number() && part["weight"].get<double>() >= 0;
+    if (!is_part) {
+      reader.fail(error_code::wrong_type, "parts", "a part has a service and a weight of 0 or more");
+      return;
+    }
+    out.push_back({part["service"].get<std::string>(), part["weight"].get<double>()});
+  }
+}
+
 std::string pointer_to(const char* kind, std::string_view name) {
   return std::string("/") + kind + "/" + escape_pointer_token(name);
 }
@@ -63,17 +81,26 @@
   check_name(reader, name);
   route out;
   out.name = name;
-  reader.require("service");
   reader.require("prefix");
+  json parts = json::array();
+  reader.read_json("parts", parts);
+  read_parts(reader, parts, out.parts);
+  if (out.parts.empty()) {
+    reader.require("service");
+  }
   reader.read("service", out.service);
   reader.read("host", out.host);
   reader.read("prefix", out.prefix);
   reader.read("methods", out.methods);
   reader.read("is_open", out.is_open);
   reader.read("is_repeatable", out.is_repeatable);
+  reader.read("needs_idempotency_key", out.needs_idempotency_key);
   reader.read("is_hedged", out.is_hedged);
   reader.read_class("class", out.priority);
   reader.read_ms("timeout_ms", out.timeout, 0, max_timeout_ms);
+  reader.read_ms("objective_ms", out.objective, 0, max_timeout_ms);
+  reader.read("max_tries", out.max_tries, 0, 100);
+  reader.read("rank", out.rank, 0, max_rank);
   reader.read("body_limit", out.body_limit, std::uint64_t{0}, std::uint64_t{1} << 40U);
   if (out.prefix.empty() || out.prefix.front() != '/') {
     reader.fail(error_code::out_of_range, "prefix", "a prefix starts with /");
@@ -81,7 +108,7 @@
   if (!std::ranges::all_of(out.methods, is_method)) {
     reader.fail(error_code::out_of_range, "methods", "a method has letters A-Z only");
   }
-  if (out.is_open && !out.is_repeatable) {
+  if (out.is_open && !out.is_repeatable && out.needs_idempotency_key) {
     reader.fail(error_code::out_of_range, "is_open",
                 "a route that is not repeatable needs a workspace and can't be open");
   }
@@ -103,6 +130,28 @@
   reader.read("rate", out.rate, 0, max_rate);
   reader.read("burst", out.burst, 1, max_rate);
   reader.read("weight", out.weight, 0.001, 1000);
+  reader.read("is_unlimited", out.is_unlimited);
+  std::uint32_t rank = max_rank + 1;
+  reader.read("rank", rank, 0, max_rank);
+  if (rank <= max_rank) {
+    out.rank = rank;
+  }
+  auto done = reader.finish();
+  if (!done) {
+    return done.error();
+  }
+  return out;
+}
+
+result<caller_limits> read_limits(const std::string& name, const json& object) {
+  constexpr std::uint64_t max_bytes = 1ULL << 40U;
+  object_reader reader(object, pointer_to("limits", name));
+  check_name(reader, name);
+  caller_limits out;
+  reader.read("head_bytes", out.head_bytes, std::uint64_t{256}, max_bytes);
+  reader.read("body_bytes", out.body_bytes, std::uint64_t{0}, max_bytes);
+  reader.read_ms("head_timeout_ms", out.head_timeout, 1, max_timeout_ms);
+  reader.read_ms("idle_timeout_ms", out.idle_timeout, 1, max_timeout_ms);
   auto done = reader.finish();
   if (!done) {
     return done.error();
--- a/src/config/entity_reader.h
+++ b/src/config/entity_reader.h
@@ -12,6 +12,7 @@
 result<service> read_service(const std::string& name, const nlohmann::json& object);
 result<route> read_route(const std::string& name, const nlohmann::json& object);
 result<workspace> read_workspace(const std::string& name, const nlohmann::json& object);
+result<caller_limits> read_limits(const std::string& name, const nlohmann::json& object);
 result<key> read_key(const std::string& name, const nlohmann::json& object);
 
 } // namespace kingcupshunt::config
--- a/src/config/snapshot.cpp
+++ b/src/config/snapshot.cpp
@@ -97,8 +97,13 @@
   entity_changes<route> routes;
   entity_changes<workspace> workspaces;
   entity_changes<key> keys;
+  entity_changes<caller_limits> limits;
 };
 
+std::shared_ptr<const caller_limits> snapshot::entry_limits() const {
+  return find(limits_, "entry");
+}
+
 std::shared_ptr<const service> snapshot::find_service(std::string_view name) const {
   return find(services_, name);
 }
@@ -169,16 +174,19 @@
 
 result<snapshot::changes> snapshot::read_changes(const json& delta) const {
   for (const auto& [name, value] : delta.items()) {
-    if (name != "services" && name != "routes" && name != "workspaces" && name != "keys") {
+    if (name != "services" && name != "routes" && name != "workspaces" && name != "keys" &&
+        name != "limits") {
       return error{error_code::unknown_member, "", "/" + escape_pointer_token(name),
-                   "allowed are services, routes, workspaces and keys"};
+                   "allowed are services, routes, workspaces, keys and limits"};
     }
   }
   BOOST_OUTCOME_TRY(services, read_section<service>(delta, "services", read_service));
   BOOST_OUTCOME_TRY(routes, read_section<route>(delta, "routes", read_route));
   BOOST_OUTCOME_TRY(workspaces, read_section<workspace>(delta, "workspaces", read_workspace));
   BOOST_OUTCOME_TRY(keys, read_section<key>(delta, "keys", read_key));
-  return changes{std::move(services), std::move(routes), std::move(workspaces), std::move(keys)};
+  BOOST_OUTCOME_TRY(limits, read_section<caller_limits>(delta, "limits", read_limits));
+  return changes{std::move(services), std::move(routes), std::move(workspaces), std::move(keys),
+                 std::move(limits)};
 }
 
 result<void> snapshot::apply(const json& delta) {
@@ -189,6 +197,9 @@
   for (const auto& change : read.value().services) {
     store(services_, change);
   }
+  for (const auto& change : read.value().limits) {
+    store(limits_, change);
+  }
   for (const auto& change : read.value().workspaces) {
     store(workspaces_, change);
   }
@@ -221,7 +232,13 @@
 
 result<void> snapshot::validate() const {
   for (const auto& [name, r] : routes_) {
-    if (!services_.contains(r->service)) {
+    for (const auto& part : r->parts) {
+      if (!services_.contains(part.service)) {
+        return error{error_code::unknown_reference, "", "/routes/" + name + "/parts",
+                     "service \"" + part.service + "\" does not exist"};
+      }
+    }
+    if (r->parts.empty() && !services_.contains(r->service)) {
       return error{error_code::unknown_reference, "", "/routes/" + name + "/service",
                    "service \"" + r->service + "\" does not exist"};
     }
--- a/src/config/to_document.cpp
+++ b/src/config/to_document.cpp
@@ -30,20 +30,43 @@
 }
 
 json to_json(const route& r) {
+  auto parts = json::array();
+  for (const auto& part : r.parts) {
+    parts.push_back({{"service", part.service}, {"weight", part.weight}});
+  }
   return {{"service", r.service},
+          {"parts", std::move(parts)},
           {"host", r.host},
           {"prefix", r.prefix},
           {"methods", r.methods},
           {"is_open", r.is_open},
           {"is_repeatable", r.is_repeatable},
+          {"needs_idempotency_key", r.needs_idempotency_key},
           {"is_hedged", r.is_hedged},
+          {"objective_ms", static_cast<std::uint64_t>(r.objective.count())},
+          {"max_tries", r.max_tries},
+          {"rank", r.rank},
           {"class", name_of(r.priority)},
           {"timeout_ms", static_cast<std::uint64_t>(r.timeout.count())},
           {"body_limit", r.body_limit}};
 }
 
 json to_json(const workspace& w) {
-  return {{"rate", w.rate}, {"burst", w.burst}, {"weight", w.weight}};
+  json out = {{"rate", w.rate},
+              {"burst", w.burst},
+              {"weight", w.weight},
+              {"is_unlimited", w.is_unlimited}};
+  if (w.rank) {
+    out["rank"] = *w.rank;
+  }
+  return out;
+}
+
+json to_json(const caller_limits& l) {
+  return {{"head_bytes", l.head_bytes},
+          {"body_bytes", l.body_bytes},
+          {"head_timeout_ms", static_cast<std::uint64_t>(l.head_timeout.count())},
+          {"idle_timeout_ms", static_cast<std::uint64_t>(l.idle_timeout.count())}};
 }
 
 json to_json(const key& k) {
@@ -64,10 +87,14 @@
 } // namespace
 
 json to_document(const snapshot& s) {
-  return {{"services", section(s.services())},
-          {"routes", section(s.routes())},
-          {"workspaces", section(s.workspaces())},
-          {"keys", section(s.keys())}};
+  json out = {{"services", section(s.services())},
+              {"routes", section(s.routes())},
+              {"workspaces", section(s.workspaces())},
+              {"keys", section(s.keys())}};
+  if (!s.limits().empty()) {
+    out["limits"] = section(s.limits());
+  }
+  return out;
 }
 
 } // namespace kingcupshunt::config
--- a/src/consensus/replica_voters.cpp
+++ b/src/consensus/replica_voters.cpp
@@ -31,6 +31,11 @@
   }
 }
 
+std::optional<base::time_point> replica::last_heard(std::string_view id) const {
+  const auto it = peers_.find(id);
+  return it == peers_.end() ? std::nullopt : std::optional(it->second.heard_at);
+}
+
 replica_result<void> replica::may_change_voters() const {
   if (role_ != role::leader || !transfer_to_.empty()) {
     return replica_error::not_leader;
--- /dev/null
+++ b/src/fleet/control_core.cpp
@@ -0,0 +1,480 @@
+#include "kingcupshunt/fleet/control_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "kingcupshunt/config/document.h"
+
+namespace kingcupshunt::fleet {
+
+using peer::message_kind;
+
+namespace {
+
+constexpr std::size_t kept_documents = 24;            // changes in quick succession go as deltas
+constexpr base::milliseconds share_resend{250};       // a lost share is sent again
+constexpr base::milliseconds join_interval{500};      // between two requests to be taken in
+constexpr base::milliseconds slow_tick_interval{200}; // for what is counted in seconds
+constexpr base::milliseconds flush_interval{50};      // load sums are as old as this at most
+constexpr base::milliseconds load_memory{2500};       // entries report at least every second
+constexpr base::seconds join_memory{2};               // a request to be taken in counts this long
+constexpr base::seconds gone_memory{60};              // late announcements are refused this long
+constexpr base::seconds unheard_memory{120};          // records without any news are dropped
+constexpr int missed_beats = 3;                       // announcements until a server is silent
+constexpr std::size_t least_voters = 3;               // none is removed below this number
+
+} // namespace
+
+control_core::control_core(control_settings settings, control_hooks hooks)
+    : settings_(std::move(settings)), hooks_(std::move(hooks)) {}
+
+void control_core::log(std::string_view event, std::string_view detail) const {
+  if (hooks_.log) {
+    hooks_.log(event, detail);
+  }
+}
+
+void control_core::on_document(const versioned_document& document) {
+  auto parsed = hooks_.parse(document.text);
+  if (!parsed) {
+    // It was checked before it was proposed, so this is a fault of this program.
+    log("document_unreadable", parsed.error().message);
+    return;
+  }
+  documents_.push_back({document.version, std::move(parsed.value())});
+  if (documents_.size() > kept_documents) {
+    documents_.pop_front();
+  }
+  log("document_in_force", "version=" + std::to_string(document.version));
+  const auto notice = peer::pack(commit_notice{document.version});
+  for (const auto& [id, e] : entries_) {
+    hooks_.send(id, message_kind::commit_notice, notice);
+  }
+}
+
+std::optional<server_record> control_core::farewell(std::string_view id) const {
+  const auto* held = table_.find(id);
+  if (held == nullptr) {
+    return std::nullopt;
+  }
+  auto out = *held;
+  out.state = server_state::gone;
+  return out;
+}
+
+void control_core::announce(server_record record, std::function<void(bool)> done,
+                            base::time_point now) {
+  record.home = settings_.self;
+  const bool is_leaving = record.state != server_state::ready;
+  const auto id = record.id;
+  const auto* before = table_.find(id);
+  const bool has_moved = before != nullptr && before->home != settings_.self;
+  const auto merged = table_.merge(std::move(record), now);
+  table_.note_heard(id, now);
+  if (merged == merge_result::changed) {
+    const auto* held = table_.find(id);
+    log("server_changed", "id=" + id + " service=" + held->service +
+                              " state=" + std::to_string(static_cast<int>(held->state)));
+  }
+  // The former home must learn that it is not to miss the announcements. Other news of ready
+  // servers goes to the entries alone, with the next tick.
+  if (!is_leaving && !(has_moved && merged == merge_result::changed)) {
+    done(is_in_touch(now));
+    return;
+  }
+  push_changes();
+  share(id, is_leaving, std::move(done), now);
+}
+
+void control_core::share(const std::string& id, bool is_leaving, std::function<void(bool)> done,
+                         base::time_point now) {
+  pending_share p;
+  p.message.call = ++next_call_;
+  p.message.records.push_back(*table_.find(id));
+  p.until = now + settings_.share_timeout;
+  p.resend = now + share_resend;
+  p.acked.insert(settings_.self);
+  const auto body = peer::pack(p.message);
+  for (const auto& control : controls_) {
+    hooks_.send(control, message_kind::record_share, body);
+  }
+  if (!is_leaving) {
+    done(is_in_touch(now));
+  } else {
+    p.done = std::move(done);
+  }
+  if (has_majority(p)) {
+    if (p.done) {
+      p.done(true);
+    }
+    return;
+  }
+  shares_.emplace(p.message.call, std::move(p));
+}
+
+bool control_core::has_majority(const pending_share& p) const {
+  const auto& voters = log_->log().voters();
+  std::size_t n = 0;
+  for (const auto& v : voters.voters) {
+    n += p.acked.contains(v.id) ? 1 : 0;
+  }
+  return !voters.voters.empty() && n >= voters.majority();
+}
+
+void control_core::push_changes() {
+  if (pushed_ == table_.position()) {
+    return;
+  }
+  const table_part part{settings_.start, pushed_, table_.position(),
+                        table_.changed_since(pushed_)};
+  pushed_ = table_.position();
+  const auto body = peer::pack(part);
+  for (const auto& [id, e] : entries_) {
+    hooks_.send(id, message_kind::table_push, body);
+  }
+}
+
+template <class T, class F>
+static bool handle(std::string_view body, F&& f) {
+  auto m = peer::unpack<T>(body);
+  if (m) {
+    f(*m);
+  }
+  return m.has_value();
+}
+
+void control_core::receive(std::string_view from, message_kind kind, std::string_view body,
+                           base::time_point now) {
+  bool is_ok = false;
+  switch (kind) {
+  case message_kind::entry_ask:
+    is_ok = handle<entry_ask>(body, [&](const auto& m) { on_ask(from, m, now); });
+    break;
+  case message_kind::document_fetch:
+    is_ok = handle<document_fetch>(body, [&](const auto& m) { on_fetch(from, m); });
+    break;
+  case message_kind::record_share:
+    is_ok = handle<record_share>(body, [&](const auto& m) { on_share(from, m, now); });
+    break;
+  case message_kind::record_share_ack:
+    is_ok = handle<record_share_ack>(body, [&](const auto& m) { on_share_ack(from, m); });
+    break;
+  case message_kind::control_join:
+    is_ok = handle<control_join>(body, [&](const auto& m) { on_join(from, m, now); });
+    break;
+  case message_kind::load_pulse:
+    is_ok = handle<load_report>(body, [&](const auto& m) { on_pulse(from, m, now); });
+    break;
+  default:
+    break;
+  }
+  malformed_ += is_ok ? 0 : 1;
+}
+
+void control_core::on_ask(std::string_view from, const entry_ask& ask, base::time_point now) {
+  auto it = entries_.find(from);
+  if (it == entries_.end()) {
+    it = entries_.emplace(std::string(from), known_entry{}).first;
+    log("entry_found", from);
+  }
+  it->second = {ask.entry_address, ask.data_centre, ask.is_ready, ask.is_leaving, now};
+  const auto& replica = log_->log();
+  entry_answer answer;
+  answer.sequence = ask.sequence;
+  answer.is_voter = replica.is_voter() && replica.is_storage_well();
+  answer.held = replica.last_index();
+  answer.applied = replica.applied_index();
+  answer.document = documents_.empty() ? 0 : documents_.back().version;
+  for (const auto& v : replica.voters().voters) {
+    answer.voters.push_back(v.id);
+  }
+  answer.voters_index = replica.voters_index();
+  answer.entries = static_cast<std::uint32_t>(count_entries(now));
+  answer.table.start = settings_.start;
+  answer.table.from = ask.table_start == settings_.start ? ask.table_position : 0;
+  answer.table.to = table_.position();
+  answer.table.records = table_.changed_since(answer.table.from);
+  hooks_.send(from, message_kind::entry_answer, peer::pack(answer));
+}
+
+std::size_t control_core::count_entries(base::time_point now) const {
+  return static_cast<std::size_t>(std::ranges::count_if(entries_, [&](const auto& item) {
+    return now - item.second.heard_at < settings_.entry_timeout;
+  }));
+}
+
+void control_core::on_fetch(std::string_view from, const document_fetch& fetch) {
+  if (documents_.empty()) {
+    return;
+  }
+  const auto& newest = documents_.back();
+  const auto base = std::ranges::find(documents_, fetch.held, &past_document::version);
+  document_content out;
+  out.applied = log_->log().applied_index();
+  out.version = newest.version;
+  if (fetch.held != 0 && base != documents_.end()) {
+    out.base = fetch.held;
+    out.text = config::make_delta(base->content, newest.content).dump();
+  } else {
+    out.text = newest.content.dump();
+  }
+  hooks_.send(from, message_kind::document_content, peer::pack(out));
+}
+
+void control_core::on_share(std::string_view from, const record_share& share,
+                            base::time_point now) {
+  add_control(from);
+  bool is_urgent = false;
+  for (const auto& r : share.records) {
+    const auto merged = table_.merge(r, now);
+    is_urgent =
+        is_urgent || (merged == merge_result::changed && r.state != server_state::ready);
+  }
+  if (is_urgent) {
+    push_changes();
+  }
+  if (share.call != 0) {
+    hooks_.send(from, message_kind::record_share_ack, peer::pack(record_share_ack{share.call}));
+  }
+}
+
+void control_core::on_share_ack(std::string_view from, const record_share_ack& ack) {
+  const auto it = shares_.find(ack.call);
+  if (it == shares_.end()) {
+    return;
+  }
+  it->second.acked.emplace(from);
+  if (has_majority(it->second)) {
+    const auto done = std::move(it->second.done);
+    shares_.erase(it);
+    if (done) {
+      done(true);
+    }
+  }
+}
+
+void control_core::check_shares(base::time_point now) {
+  std::vector<std::function<void(bool)>> failed;
+  for (auto it = shares_.begin(); it != shares_.end();) {
+    auto& p = it->second;
+    if (now >= p.until) {
+      failed.push_back(std::move(p.done));
+      it = shares_.erase(it);
+      continue;
+    }
+    if (now >= p.resend) {
+      p.resend = now + share_resend;
+      const auto body = peer::pack(p.message);
+      for (const auto& control : controls_) {
+        if (!p.acked.contains(control)) {
+          hooks_.send(control, message_kind::record_share, body);
+        }
+      }
+    }
+    ++it;
+  }
+  for (const auto& done : failed) {
+    if (done) {
+      done(false);
+    }
+  }
+}
+
+void control_core::add_control(std::string_view id) {
+  if (id != settings_.self) {
+    controls_.emplace(id);
+  }
+}
+
+std::vector<std::string> control_core::control_ids() const {
+  return {controls_.begin(), controls_.end()};
+}
+
+bool control_core::is_in_touch(base::time_point now) const {
+  return in_touch_at_ != base::time_point{} && now - in_touch_at_ < settings_.contact_timeout;
+}
+
+void control_core::on_join(std::string_view from, const control_join& join, base::time_point now) {
+  add_control(from);
+  if (joins_.find(from) == joins_.end()) {
+    log("control_asks_to_join", std::string(from) + " store=" + join.store);
+  }
+  joins_.insert_or_assign(std::string(from), now);
+}
+
+/// Whoever hears no leader asks to be taken in: a new instance, one that was removed while it was
+/// away, and one that knows former voters only.
+void control_core::keep_voters(base::time_point now) {
+  auto& replica = log_->log();
+  for (const auto& v : replica.voters().voters) {
+    add_control(v.id);
+  }
+  for (const auto& id : replica.voters().joining) {
+    add_control(id);
+  }
+  if (replica.hears_leader(now)) {
+    in_touch_at_ = now;
+  } else if (now >= join_at_) {
+    join_at_ = now + join_interval;
+    const auto body = peer::pack(control_join{settings_.store});
+    for (const auto& id : controls_) {
+      hooks_.send(id, message_kind::control_join, body);
+    }
+  }
+  std::erase_if(joins_, [&](const auto& j) { return now - j.second > join_memory; });
+  if (!replica.may_change_voters_now()) {
+    return;
+  }
+  for (const auto& [id, at] : joins_) {
+    const auto& voters = replica.voters();
+    const bool is_known = voters.find(id) != nullptr ||
+                          std::ranges::find(voters.joining, id) != voters.joining.end();
+    if (!is_known && replica.add_voter(id, now)) {
+      log("control_joins", id);
+      return;
+    }
+  }
+  remove_lost_voter(now);
+}
+
+/// An even number of voters bears no more losses than the odd number below it, so that a voter lost
+/// from an even number goes soon, and from an odd number only after a time that repairs rarely take.
+void control_core::remove_lost_voter(base::time_point now) {
+  auto& replica = log_->log();
+  const auto& voters = replica.voters();
+  const auto limit =
+      voters.voters.size() % 2 == 0 ? settings_.voter_timeout_even : settings_.voter_timeout_odd;
+  if (voters.voters.size() <= least_voters) {
+    return;
+  }
+  for (const auto& v : voters.voters) {
+    const auto heard = replica.last_heard(v.id);
+    if (heard && now - *heard > limit) {
+      log("control_removed", v.id);
+      (void)replica.remove_voter(v.id, now); // tried again with the next tick
+      return;
+    }
+  }
+  for (const auto& id : voters.joining) {
+    const auto heard = replica.last_heard(id);
+    if (heard && now - *heard > limit) {
+      log("control_join_given_up", id);
+      (void)replica.remove_voter(id, now);
+      return;
+    }
+  }
+}
+
+void control_core::on_pulse(std::string_view from, const load_report& report,
+                            base::time_point now) {
+  loads_.heard.insert_or_assign(std::string(from), now);
+  for (const auto& load : report.loads) {
+    auto& entries = loads_.by_server[load.server];
+    if (load.in_flight == 0) {
+      entries.erase(std::string(from));
+    } else {
+      entries.insert_or_assign(std::string(from), load.in_flight);
+    }
+    loads_.changed.insert(load.server);
+  }
+  auto& failures = loads_.failures[std::string(from)];
+  failures.insert(failures.end(), report.failures.begin(), report.failures.end());
+  if (failures.empty()) {
+    loads_.failures.erase(std::string(from));
+  } else {
+    flush_loads(); // a failing server is to be avoided at once
+  }
+}
+
+/// Each entry gets the sums without its own part.
+void control_core::flush_loads() {
+  if (loads_.changed.empty() && loads_.failures.empty()) {
+    return;
+  }
+  for (const auto& [id, e] : entries_) {
+    load_report out;
+    for (const auto& server : loads_.changed) {
+      std::uint32_t n = 0;
+      for (const auto& [entry, in_flight] : loads_.by_server[server]) {
+        n += entry == id ? 0 : in_flight;
+      }
+      out.loads.push_back({server, n});
+    }
+    for (const auto& [reporter, notes] : loads_.failures) {
+      if (reporter != id) {
+        out.failures.insert(out.failures.end(), notes.begin(), notes.end());
+      }
+    }
+    if (!out.loads.empty() || !out.failures.empty()) {
+      hooks_.send(id, message_kind::load_total, peer::pack(out));
+    }
+  }
+  for (const auto& server : loads_.changed) {
+    const auto it = loads_.by_server.find(server);
+    if (it != loads_.by_server.end() && it->second.empty()) {
+      loads_.by_server.erase(it);
+    }
+  }
+  loads_.changed.clear();
+  loads_.failures.clear();
+}
+
+/// An entry instance that reports elsewhere by now, or not at all.
+void control_core::forget_load(std::string_view id) {
+  for (auto& [server, entries] : loads_.by_server) {
+    const auto it = entries.find(std::string(id));
+    if (it != entries.end()) {
+      entries.erase(it);
+      loads_.changed.insert(server);
+    }
+  }
+}
+
+void control_core::tick(base::time_point now) {
+  check_shares(now);
+  if (now >= flush_at_) {
+    flush_at_ = now + flush_interval;
+    flush_loads();
+    push_changes();
+  }
+  if (now < slow_tick_at_) {
+    return;
+  }
+  slow_tick_at_ = now + slow_tick_interval;
+  keep_voters(now);
+  const auto silent =
+      table_.mark_silent(settings_.self, settings_.beat_interval * missed_beats, now);
+  if (silent > 0) {
+    log("servers_silent", "count=" + std::to_string(silent));
+  }
+  std::erase_if(loads_.heard, [&](const auto& item) {
+    const bool is_lost = now - item.second > load_memory;
+    if (is_lost) {
+      forget_load(item.first);
+    }
+    return is_lost;
+  });
+  table_.forget(gone_memory, unheard_memory, now);
+  std::erase_if(entries_, [&](const auto& item) {
+    const bool is_lost = now - item.second.heard_at > settings_.entry_timeout * 2;
+    if (is_lost) {
+      log("entry_lost", item.first);
+    }
+    return is_lost;
+  });
+}
+
+std::vector<std::string> control_core::entry_addresses(base::time_point now) const {
+  std::vector<std::string> out;
+  for (const auto& [id, e] : entries_) {
+    const bool is_usable = e.is_ready && !e.is_leaving &&
+                           now - e.heard_at < settings_.entry_timeout &&
+                           (!hooks_.is_connected || hooks_.is_connected(id));
+    if (is_usable) {
+      out.push_back(e.address);
+    }
+  }
+  return out;
+}
+
+} // namespace kingcupshunt::fleet
--- /dev/null
+++ b/src/fleet/entry_link.cpp
@@ -0,0 +1,218 @@
+#include "kingcupshunt/fleet/entry_link.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "kingcupshunt/base/rendezvous.h"
+
+namespace kingcupshunt::fleet {
+
+using peer::message_kind;
+
+namespace {
+
+constexpr std::size_t kept_questions = 16; // unanswered ones are forgotten beyond this
+
+} // namespace
+
+entry_link::entry_link(entry_link_settings settings, entry_link_hooks hooks)
+    : settings_(std::move(settings)), hooks_(std::move(hooks)), lease_(settings_.lease) {}
+
+void entry_link::set_seeds(std::vector<std::string> seeds) {
+  if (seeds == seeds_) {
+    return;
+  }
+  seeds_ = std::move(seeds);
+  for (const auto& id : seeds_) {
+    controls_.try_emplace(id);
+  }
+  hooks_.on_controls();
+}
+
+std::set<std::string, std::less<>> entry_link::controls() const {
+  std::set<std::string, std::less<>> out;
+  for (const auto& [id, c] : controls_) {
+    out.insert(id);
+  }
+  return out;
+}
+
+std::string entry_link::relay(base::time_point now) const {
+  std::vector<std::string> heard;
+  for (const auto& [id, c] : controls_) {
+    if (c.heard_at != base::time_point{} && now - c.heard_at < settings_.relay_timeout) {
+      heard.push_back(id);
+    }
+  }
+  const auto at = base::rendezvous_pick("load", heard);
+  return at < heard.size() ? heard[at] : std::string();
+}
+
+void entry_link::tick(base::time_point now) {
+  if (now >= ask_at_) {
+    ask_at_ = now + (is_fresh() ? settings_.ask_interval : settings_.first_ask_interval);
+    ask_all(now);
+  }
+  const bool is_now_fresh = is_fresh();
+  if (is_now_fresh != was_fresh_ && hooks_.log) {
+    hooks_.log(is_now_fresh ? "control_regained" : "control_lost",
+               "applied=" + std::to_string(lease_.applied()) +
+                   " version=" + std::to_string(version_));
+  }
+  was_fresh_ = is_now_fresh;
+}
+
+void entry_link::ask_all(base::time_point now) {
+  entry_ask ask;
+  ask.sequence = ++sequence_;
+  ask.entry_address = settings_.entry_address;
+  ask.data_centre = settings_.data_centre;
+  ask.is_ready = hooks_.is_ready();
+  ask.is_leaving = hooks_.is_leaving();
+  ask.applied = lease_.applied();
+  const auto is_wanted = [&](const std::string& id, const control& c) {
+    return std::ranges::find(seeds_, id) != seeds_.end() ||
+           std::ranges::find(lease_.voters(), id) != lease_.voters().end() ||
+           now - c.heard_at < settings_.forget_control;
+  };
+  if (std::erase_if(controls_, [&](const auto& item) {
+        return !is_wanted(item.first, item.second);
+      }) > 0) {
+    hooks_.on_controls();
+  }
+  for (auto& [id, c] : controls_) {
+    ask.table_start = c.table_start;
+    ask.table_position = c.table_position;
+    c.asked[ask.sequence] = base::boot_clock::now();
+    if (c.asked.size() > kept_questions) {
+      c.asked.erase(c.asked.begin());
+    }
+    hooks_.send(id, message_kind::entry_ask, peer::pack(ask));
+  }
+}
+
+template <class T, class F>
+static bool handle(std::string_view body, F&& f) {
+  auto m = peer::unpack<T>(body);
+  if (m) {
+    f(*m);
+  }
+  return m.has_value();
+}
+
+void entry_link::receive(std::string_view from, message_kind kind, std::string_view body,
+                         base::time_point now) {
+  bool is_ok = false;
+  switch (kind) {
+  case message_kind::entry_answer:
+    is_ok = handle<entry_answer>(body, [&](const auto& m) { on_answer(from, m, now); });
+    break;
+  case message_kind::table_push:
+    is_ok = handle<table_part>(body, [&](const auto& m) {
+      const auto it = controls_.find(from);
+      if (it != controls_.end()) {
+        take_table(it->second, m, now);
+      }
+    });
+    break;
+  case message_kind::commit_notice:
+    is_ok = handle<commit_notice>(body, [&](const auto& m) { fetch(from, m.document, now); });
+    break;
+  case message_kind::document_content:
+    is_ok = handle<document_content>(body, [&](const auto& m) { on_content(m); });
+    break;
+  default:
+    break;
+  }
+  malformed_ += is_ok ? 0 : 1;
+}
+
+void entry_link::on_answer(std::string_view from, const entry_answer& answer,
+                           base::time_point now) {
+  const auto it = controls_.find(from);
+  if (it == controls_.end()) {
+    return;
+  }
+  auto& c = it->second;
+  const auto asked = c.asked.find(answer.sequence);
+  if (asked == c.asked.end()) {
+    return;
+  }
+  const auto sent = asked->second;
+  c.asked.erase(c.asked.begin(), std::next(asked));
+  c.heard_at = now;
+  take_table(c, answer.table, now);
+  const auto known = lease_.voters_index();
+  lease_.set_voters(answer.voters, answer.voters_index);
+  if (answer.is_voter) {
+    lease_.note_answer(from, sent, answer.held);
+  }
+  if (answer.document == version_) {
+    lease_.set_applied(answer.applied);
+  }
+  entry_count_ = std::max<std::uint32_t>(answer.entries, 1);
+  if (lease_.voters_index() != known) {
+    for (const auto& id : lease_.voters()) {
+      controls_.try_emplace(id);
+    }
+    hooks_.on_controls();
+  }
+  fetch(from, answer.document, now);
+}
+
+/// Changes that do not follow what is held are left to the next answer, which repeats them.
+void entry_link::take_table(control& c, const table_part& part, base::time_point now) {
+  if (part.start != c.table_start) {
+    if (part.from != 0) {
+      return;
+    }
+    c.table_start = part.start;
+    c.table_position = 0;
+  }
+  if (part.from > c.table_position || part.to <= c.table_position) {
+    return;
+  }
+  c.table_position = part.to;
+  for (const auto& r : part.records) {
+    if (table_.merge(r, now) == merge_result::changed) {
+      hooks_.on_server(*table_.find(r.id));
+    }
+  }
+}
+
+void entry_link::fetch(std::string_view from, std::uint64_t version, base::time_point now) {
+  if (version <= version_ || now < fetch_until_) {
+    return;
+  }
+  fetch_until_ = now + settings_.fetch_timeout;
+  hooks_.send(from, message_kind::document_fetch, peer::pack(document_fetch{version_}));
+}
+
+void entry_link::on_content(const document_content& content) {
+  fetch_until_ = {};
+  if (content.version <= version_ || (content.base != 0 && content.base != version_)) {
+    return;
+  }
+  const auto parsed = nlohmann::json::parse(content.text, nullptr, false);
+  auto next = content.base == 0 ? config::snapshot{} : configuration_;
+  const auto applied = parsed.is_discarded() ? config::result<void>(config::error{})
+                                             : next.apply(parsed);
+  if (!applied) {
+    ++malformed_;
+    if (hooks_.log) {
+      hooks_.log("document_unreadable", config::describe(applied.error()));
+    }
+    return;
+  }
+  configuration_ = std::move(next);
+  version_ = content.version;
+  lease_.set_applied(content.applied);
+  hooks_.on_document(configuration_);
+  if (hooks_.log) {
+    hooks_.log("document_in_force", "version=" + std::to_string(version_));
+  }
+}
+
+} // namespace kingcupshunt::fleet
--- /dev/null
+++ b/src/fleet/server_table.cpp
@@ -0,0 +1,159 @@
+#include "kingcupshunt/fleet/server_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupshunt::fleet {
+
+namespace {
+
+/// Members that matter to those who send requests.
+bool says_the_same(const server_record& a, const server_record& b) {
+  return a.service == b.service && a.address == b.address && a.data_centre == b.data_centre &&
+         a.slots == b.slots && a.state == b.state && a.born_ms == b.born_ms && a.home == b.home &&
+         a.is_silent == b.is_silent;
+}
+
+} // namespace
+
+const server_record* server_table::find(std::string_view id) const {
+  const auto it = entries_.find(id);
+  return it == entries_.end() ? nullptr : &it->second.record;
+}
+
+void server_table::touch(entry& e, base::time_point now) {
+  e.position = ++position_;
+  e.changed_at = now;
+}
+
+/// An announcement that was held up may name an address that a later incarnation has by now.
+bool server_table::is_superseded(const server_record& record) const {
+  const auto holder = holders_.find(record.address);
+  if (holder == holders_.end() || holder->second == record.id) {
+    return false;
+  }
+  const auto* other = find(holder->second);
+  return other != nullptr && other->born_ms > record.born_ms;
+}
+
+void server_table::supersede_address(const server_record& record, base::time_point now) {
+  if (record.address.empty()) {
+    return;
+  }
+  auto& holder = holders_[record.address];
+  if (!holder.empty() && holder != record.id) {
+    const auto former = entries_.find(holder);
+    if (former != entries_.end() && former->second.record.state != server_state::gone) {
+      former->second.record.state = server_state::gone;
+      touch(former->second, now);
+    }
+  }
+  holder = record.id;
+}
+
+merge_result server_table::merge(server_record record, base::time_point now) {
+  if (record.state != server_state::gone && is_superseded(record)) {
+    record.state = server_state::gone;
+  }
+  const auto it = entries_.find(record.id);
+  if (it == entries_.end()) {
+    if (record.state != server_state::gone) {
+      supersede_address(record, now);
+    }
+    auto& e = entries_[record.id];
+    e.record = std::move(record);
+    e.heard_at = now;
+    touch(e, now);
+    return merge_result::changed;
+  }
+  auto& held = it->second.record;
+  const bool is_former = record.born_ms < held.born_ms;
+  const bool is_same = record.born_ms == held.born_ms;
+  if (is_former || (is_same && held.state == server_state::gone)) {
+    return merge_result::stale;
+  }
+  if (is_same) {
+    // A farewell carries no sequence, and a step back in the state is never true.
+    const bool is_farewell = record.state == server_state::gone;
+    if (!is_farewell && (record.sequence < held.sequence || record.state < held.state)) {
+      return merge_result::stale;
+    }
+    if (is_farewell) {
+      held.state = server_state::gone;
+      touch(it->second, now);
+      return merge_result::changed;
+    }
+    // A copy relayed by another instance says where the server announces itself by now.
+    const bool is_copy = record.sequence == held.sequence && says_the_same(record, held);
+    if (is_copy) {
+      return merge_result::stale;
+    }
+  }
+  const bool is_change = !says_the_same(record, held);
+  if (is_change && record.state != server_state::gone) {
+    supersede_address(record, now);
+  }
+  held = std::move(record);
+  if (!is_change) {
+    return merge_result::repeated;
+  }
+  touch(it->second, now);
+  return merge_result::changed;
+}
+
+void server_table::note_heard(std::string_view id, base::time_point now) {
+  const auto it = entries_.find(id);
+  if (it != entries_.end()) {
+    it->second.heard_at = now;
+  }
+}
+
+std::size_t server_table::mark_silent(std::string_view home, base::duration limit,
+                                      base::time_point now) {
+  std::size_t n = 0;
+  for (auto& [id, e] : entries_) {
+    const bool is_due = e.record.home == home && !e.record.is_silent &&
+                        e.record.state != server_state::gone && now - e.heard_at > limit;
+    if (is_due) {
+      e.record.is_silent = true;
+      touch(e, now);
+      ++n;
+    }
+  }
+  return n;
+}
+
+void server_table::forget(base::duration gone_for, base::duration silent_for,
+                          base::time_point now) {
+  std::erase_if(entries_, [&](const auto& item) {
+    const auto& e = item.second;
+    const bool is_due =
+        (e.record.state == server_state::gone && now - e.changed_at > gone_for) ||
+        (now - std::max(e.heard_at, e.changed_at) > silent_for);
+    if (is_due) {
+      const auto holder = holders_.find(e.record.address);
+      if (holder != holders_.end() && holder->second == item.first) {
+        holders_.erase(holder);
+      }
+    }
+    return is_due;
+  });
+}
+
+std::vector<server_record> server_table::changed_since(std::uint64_t position) const {
+  std::vector<const entry*> found;
+  for (const auto& [id, e] : entries_) {
+    if (e.position > position) {
+      found.push_back(&e);
+    }
+  }
+  std::ranges::sort(found, {}, &entry::position);
+  std::vector<server_record> out;
+  out.reserve(found.size());
+  for (const auto* e : found) {
+    out.push_back(e->record);
+  }
+  return out;
+}
+
+} // namespace kingcupshunt::fleet
--- /dev/null
+++ b/src/node/control_node.cpp
@@ -0,0 +1,302 @@
+#include "kingcupshunt/node/control_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+#include "kingcupshunt/config/snapshot.h"
+#include "kingcupshunt/observe/event_log.h"
+#include "kingcupshunt/rates/owner.h"
+#include "kingcupshunt/storage/log_store.h"
+#include "kingcupshunt/storage/sync_thread.h"
+#include "role_runtime.h"
+
+namespace kingcupshunt::node {
+
+namespace {
+
+using peer::message_kind;
+
+/// After a request to stop: time for answers in progress and the handover of the lead.
+constexpr base::milliseconds stop_time{700};
+/// An election takes one to two of these.
+constexpr base::milliseconds election_timeout{700};
+constexpr base::milliseconds heartbeat_interval{150};
+constexpr base::milliseconds storage_bound{1500};
+
+} // namespace
+
+struct control_node::impl {
+  impl(settings::role_settings s, control_node_hooks h)
+      : hooks(std::move(h)), runtime(std::move(s), role_hooks_for()) {}
+
+  role_hooks role_hooks_for();
+  base::result<void, std::string> open();
+  void open_log(std::unique_ptr<storage::log_store> store);
+  fleet::document_log_hooks log_hooks();
+  void on_message(std::string_view from, message_kind kind, const std::string& body);
+  void on_document(const fleet::versioned_document& document);
+  void on_tick(base::time_point now);
+  void on_written(std::uint64_t sequence, const std::optional<storage::error>& failure);
+  void follow_voters(base::time_point now);
+  void stop();
+
+  control_node_hooks hooks;
+  role_runtime runtime;
+  std::unique_ptr<fleet::control_core> core;
+  std::unique_ptr<fleet::document_log> documents;
+  std::unique_ptr<rates::owner> rate_owner;
+  std::unique_ptr<storage::sync_thread> disk;
+  std::unique_ptr<control::http_server> control_server;
+  std::unique_ptr<control::http_server> directory_server;
+  std::unique_ptr<boost::asio::steady_timer> stop_timer;
+  config::snapshot configuration;
+  std::vector<std::string> known_controls;
+  std::uint64_t view_index = 0;
+  bool has_view = false;
+};
+
+role_hooks control_node::impl::role_hooks_for() {
+  role_hooks out;
+  out.on_message = [this](std::string_view from, message_kind kind, const std::string& body) {
+    on_message(from, kind, body);
+  };
+  out.on_tick = [this](base::time_point now) { on_tick(now); };
+  out.on_stop = [this] { stop(); };
+  out.on_reload = [this] {
+    if (const auto s = hooks.reload ? hooks.reload() : std::nullopt) {
+      for (const auto& id : s->seeds) {
+        core->add_control(id);
+      }
+    }
+  };
+  return out;
+}
+
+base::result<void, std::string> control_node::impl::open() {
+  const auto& s = runtime.settings;
+  storage::log_store_settings store_settings;
+  store_settings.folder = s.data_folder;
+  store_settings.instance = s.id;
+  store_settings.fleet = s.fleet;
+  auto store = storage::log_store::open(store_settings, storage::make_system_files());
+  if (!store) {
+    return storage::describe(store.error());
+  }
+  if (const auto torn = store.value()->torn_bytes(); torn > 0) {
+    observe::log_warning("log_tail_cut", {{"folder", s.data_folder}, {"bytes", torn}});
+  }
+  if (auto started = runtime.start(); !started) {
+    return started.error();
+  }
+  fleet::control_settings core_settings;
+  core_settings.self = s.id;
+  core_settings.store = store.value()->store_id();
+  core_settings.start = runtime.seed;
+  core_settings.beat_interval = s.bounds.beat_interval;
+  fleet::control_hooks core_hooks;
+  core_hooks.send = [this](std::string_view to, message_kind kind, std::string body) {
+    runtime.send(to, kind, std::move(body));
+  };
+  core_hooks.parse = hooks.parse;
+  core_hooks.is_connected = [this](std::string_view id) {
+    return runtime.transport->is_connected(id);
+  };
+  core_hooks.log = [this](std::string_view event, std::string_view detail) {
+    runtime.metrics.count("control_events_total", event);
+    observe::log_info(event, {{"detail", detail}});
+  };
+  core = std::make_unique<fleet::control_core>(std::move(core_settings), std::move(core_hooks));
+  for (const auto& id : s.seeds) {
+    core->add_control(id);
+  }
+  rates::owner_settings owner_settings;
+  owner_settings.self = s.id;
+  owner_settings.incarnation = runtime.seed;
+  rates::owner_hooks owner_hooks;
+  owner_hooks.send = [this](std::string_view to, message_kind kind, std::string body) {
+    runtime.send(to, kind, std::move(body));
+  };
+  owner_hooks.limit_of = [this](std::string_view name) -> std::optional<rates::limit> {
+    const auto w = configuration.find_workspace(name);
+    return w ? std::optional(rates::limit{w->rate, w->burst}) : std::nullopt;
+  };
+  owner_hooks.is_fresh = [this] { return core->is_in_touch(base::clock::now()); };
+  rate_owner = std::make_unique<rates::owner>(std::move(owner_settings), std::move(owner_hooks));
+  open_log(std::move(store.value()));
+  return base::success();
+}
+
+fleet::document_log_hooks control_node::impl::log_hooks() {
+  fleet::document_log_hooks out;
+  out.send = [this](std::string_view to, message_kind kind, std::string body) {
+    runtime.send(to, kind, std::move(body));
+  };
+  out.persist = [this](consensus::write_batch batch) { disk->write(std::move(batch)); };
+  out.save_snapshot = [this](const consensus::snapshot& s) { disk->save_snapshot(s); };
+  out.on_document = [this](const fleet::versioned_document& d) { on_document(d); };
+  out.on_role = [this] {
+    const auto& log = documents->log();
+    observe::log_info("log_role", {{"term", log.term()},
+                                   {"is_leader", log.is_leader()},
+                                   {"leader", log.leader()}});
+  };
+  return out;
+}
+
+void control_node::impl::open_log(std::unique_ptr<storage::log_store> store) {
+  const auto& s = runtime.settings;
+  consensus::replica_settings replica;
+  replica.self = {s.id, store->store_id()};
+  replica.seed = runtime.seed;
+  replica.election_timeout = election_timeout;
+  replica.heartbeat_interval = heartbeat_interval;
+  replica.storage_bound = storage_bound;
+  // Only the seeds of the very first start found the log; every other instance joins it.
+  if (s.is_first_start && std::ranges::find(s.seeds, s.id) != s.seeds.end()) {
+    replica.initial_voters = s.seeds;
+  }
+  auto recovered = store->take_recovered();
+  storage::sync_thread_hooks disk_hooks;
+  disk_hooks.post = [this](std::function<void()> f) {
+    boost::asio::post(runtime.io, std::move(f));
+  };
+  disk_hooks.on_written = [this](std::uint64_t sequence, const auto& failure) {
+    on_written(sequence, failure);
+  };
+  disk_hooks.on_snapshot_saved = [this](std::uint64_t index, const auto& failure) {
+    if (failure) {
+      observe::log_error("snapshot_failed", {{"error", storage::describe(*failure)}});
+    }
+    documents->log().on_snapshot_saved(index, !failure, base::clock::now());
+  };
+  disk = std::make_unique<storage::sync_thread>(std::move(store), std::move(disk_hooks));
+  documents = std::make_unique<fleet::document_log>(std::move(replica), log_hooks(),
+                                                    std::move(recovered), base::clock::now());
+  core->set_log(documents.get());
+}
+
+void control_node::impl::on_written(std::uint64_t sequence,
+                                    const std::optional<storage::error>& failure) {
+  if (failure) {
+    observe::log_error("disk_write_failed", {{"error", storage::describe(*failure)}});
+    runtime.metrics.count("disk_failures_total");
+  }
+  documents->log().on_persisted(sequence, !failure, base::clock::now());
+}
+
+void control_node::impl::on_document(const fleet::versioned_document& document) {
+  core->on_document(document);
+  const auto parsed = hooks.parse(document.text);
+  config::snapshot next;
+  if (parsed && next.apply(parsed.value())) {
+    configuration = std::move(next);
+  }
+}
+
+void control_node::impl::on_message(std::string_view from, message_kind kind,
+                                    const std::string& body) {
+  const auto now = base::clock::now();
+  switch (kind) {
+  case message_kind::log_append:
+  case message_kind::log_append_answer:
+  case message_kind::log_vote:
+  case message_kind::log_vote_answer:
+  case message_kind::log_snapshot_chunk:
+  case message_kind::log_snapshot_answer:
+  case message_kind::log_timeout_now:
+    documents->receive(from, kind, body, now);
+    break;
+  case message_kind::rate_ask:
+    rate_owner->receive(from, kind, body, now);
+    break;
+  default:
+    core->receive(from, kind, body, now);
+  }
+}
+
+/// Rates are owned by the voters: they are few, known to all, and change seldom.
+void control_node::impl::follow_voters(base::time_point now) {
+  const auto& log = documents->log();
+  const auto controls = core->control_ids();
+  if (controls != known_controls) {
+    known_controls = controls;
+    runtime.set_peers({controls.begin(), controls.end()});
+  }
+  if (log.voters().voters.empty() || (has_view && log.voters_index() == view_index)) {
+    return;
+  }
+  has_view = true;
+  view_index = log.voters_index();
+  membership::fleet_view view;
+  view.version = view_index + 1;
+  for (const auto& v : log.voters().voters) {
+    view.members.push_back({v.id, "", "", "", true});
+  }
+  rate_owner->set_view(view, now);
+}
+
+void control_node::impl::on_tick(base::time_point now) {
+  documents->tick(now);
+  core->tick(now);
+  follow_voters(now);
+  rate_owner->tick(now);
+}
+
+void control_node::impl::stop() {
+  documents->log().transfer_leadership(base::clock::now());
+  control_server->stop();
+  directory_server->stop();
+  stop_timer = std::make_unique<boost::asio::steady_timer>(runtime.io, stop_time);
+  stop_timer->async_wait([this](boost::system::error_code) { runtime.end(); });
+}
+
+control_node::control_node(std::unique_ptr<impl> i) : impl_(std::move(i)) {}
+
+control_node::~control_node() = default;
+
+base::result<std::unique_ptr<control_node>, std::string>
+control_node::open(settings::role_settings settings, control_node_hooks hooks) {
+  auto made = std::make_unique<impl>(std::move(settings), std::move(hooks));
+  if (auto opened = made->open(); !opened) {
+    return opened.error();
+  }
+  return std::unique_ptr<control_node>(new control_node(std::move(made)));
+}
+
+void control_node::set_handlers(control::http_handler control, control::http_handler directory) {
+  const auto& s = impl_->runtime.settings;
+  impl_->control_server = std::make_unique<control::http_server>(
+      impl_->runtime.io, control::http_server_settings{s.control.address, s.control.port},
+      std::move(control));
+  impl_->directory_server = std::make_unique<control::http_server>(
+      impl_->runtime.io, control::http_server_settings{s.directory.address, s.directory.port},
+      std::move(directory));
+}
+
+fleet::control_core& control_node::core() noexcept {
+  return *impl_->core;
+}
+
+fleet::document_log& control_node::documents() noexcept {
+  return *impl_->documents;
+}
+
+const settings::role_settings& control_node::settings() const noexcept {
+  return impl_->runtime.settings;
+}
+
+void control_node::count(std::string_view name, std::string_view kind) {
+  impl_->runtime.metrics.count(name, kind);
+}
+
+void control_node::run() {
+  observe::log_info("control_started", {{"id", impl_->runtime.settings.id},
+                                        {"data_centre", impl_->runtime.settings.data_centre},
+                                        {"peer", impl_->runtime.settings.peer.to_string()}});
+  impl_->runtime.run();
+}
+
+} // namespace kingcupshunt::node
--- /dev/null
+++ b/src/node/entry_node.cpp
@@ -0,0 +1,211 @@
+#include "kingcupshunt/node/entry_node.h"
+
+#include <utility>
+
+#include "entry_traffic.h"
+#include "kingcupshunt/observe/event_log.h"
+#include "kingcupshunt/proxy/entry_server.h"
+#include "role_runtime.h"
+
+namespace kingcupshunt::node {
+
+using peer::message_kind;
+
+namespace {
+
+/// From the request to stop to the close of the listener: three lifetimes of an address answer are
+/// waited for at most, since some callers keep one that long.
+constexpr double address_lifetimes = 2.5;
+/// Kept between the last answer and the kill.
+constexpr base::milliseconds stop_margin{400};
+/// Own answer to a deadline after the upstream's, which arrives a moment later than it is due.
+constexpr base::milliseconds answer_grace{60};
+constexpr base::milliseconds connect_timeout{400}; // a connection takes about 1 ms
+constexpr base::milliseconds verified_for{1500};   // upstreams keep idle connections for longer
+constexpr base::milliseconds upstream_idle{4000};
+constexpr std::size_t max_replay_bytes = std::size_t{1} << 20U;
+constexpr std::size_t max_caller_connections = 8000; // of 9,840 descriptors
+constexpr base::seconds longest_request{120};
+
+proxy::entry_settings entry_settings_of(const settings::role_settings& s, proxy::wire_names names) {
+  proxy::entry_settings out;
+  out.address = s.entry.address;
+  out.port = s.entry.port;
+  out.max_connections = max_caller_connections;
+  out.max_connections_per_caller = max_caller_connections; // callers may share an address
+  out.max_replay_bytes = max_replay_bytes;
+  out.max_stored_answer_bytes = max_replay_bytes;
+  out.total_timeout = longest_request;
+  out.connect_timeout = connect_timeout;
+  out.verified_for = verified_for;
+  out.upstream_idle_timeout = upstream_idle;
+  out.silence_after = longest_request; // lookups that wait are hedged instead
+  out.answer_grace = answer_grace;
+  out.names = std::move(names);
+  return out;
+}
+
+} // namespace
+
+struct entry_node::impl {
+  impl(settings::role_settings s, proxy::wire_names n, entry_node_hooks h)
+      : names(std::move(n)), hooks(std::move(h)), runtime(std::move(s), role_hooks_for()),
+        link(link_settings(), link_hooks()), traffic(runtime, link), stop_timer(runtime.io) {}
+
+  role_hooks role_hooks_for();
+  fleet::entry_link_settings link_settings() const;
+  fleet::entry_link_hooks link_hooks();
+  base::result<void, std::string> open();
+  void on_message(std::string_view from, message_kind kind, const std::string& body);
+  bool is_ready() const { return !is_leaving && link.has_document() && link.is_fresh(); }
+  void begin_stop();
+  void close_entry(base::time_point stop_at);
+
+  proxy::wire_names names;
+  entry_node_hooks hooks;
+  role_runtime runtime;
+  fleet::entry_link link;
+  entry_traffic traffic;
+  boost::asio::steady_timer stop_timer;
+  std::unique_ptr<proxy::entry_server> entry;
+  std::unique_ptr<control::http_server> readiness;
+  bool is_leaving = false;
+  bool was_ready = false;
+};
+
+role_hooks entry_node::impl::role_hooks_for() {
+  role_hooks out;
+  out.on_message = [this](std::string_view from, message_kind kind, const std::string& body) {
+    on_message(from, kind, body);
+  };
+  out.on_tick = [this](base::time_point now) {
+    if (is_ready() != was_ready) {
+      was_ready = !was_ready;
+      observe::log_info("readiness", {{"is_ready", was_ready}, {"version", link.version()}});
+      link.ask_now();
+    }
+    link.tick(now);
+    traffic.tick(now);
+  };
+  out.on_stop = [this] { begin_stop(); };
+  out.on_reload = [this] {
+    if (const auto s = hooks.reload ? hooks.reload() : std::nullopt) {
+      link.set_seeds(s->seeds);
+    }
+  };
+  return out;
+}
+
+fleet::entry_link_settings entry_node::impl::link_settings() const {
+  fleet::entry_link_settings out;
+  out.self = runtime.settings.id;
+  out.entry_address = runtime.settings.entry.to_string();
+  out.data_centre = runtime.settings.data_centre;
+  out.lease = runtime.settings.bounds.lease;
+  return out;
+}
+
+fleet::entry_link_hooks entry_node::impl::link_hooks() {
+  fleet::entry_link_hooks out;
+  out.send = [this](std::string_view to, message_kind kind, std::string body) {
+    runtime.send(to, kind, std::move(body));
+  };
+  out.is_ready = [this] { return is_ready(); };
+  out.is_leaving = [this] { return is_leaving; };
+  out.on_server = [this](const fleet::server_record& r) { traffic.on_server(r); };
+  out.on_document = [this](const config::snapshot& s) {
+    if (const auto limits = s.entry_limits(); limits && entry) {
+      entry->set_caller_limits(limits->head_bytes, limits->head_timeout, limits->idle_timeout);
+    }
+  };
+  out.on_controls = [this] { traffic.follow_controls(); };
+  out.log = [this](std::string_view event, std::string_view detail) {
+    runtime.metrics.count("entry_events_total", event);
+    observe::log_info(event, {{"detail", detail}});
+  };
+  return out;
+}
+
+base::result<void, std::string> entry_node::impl::open() {
+  if (auto started = runtime.start(); !started) {
+    return started.error();
+  }
+  const auto& s = runtime.settings;
+  link.set_seeds(s.seeds);
+  entry = std::make_unique<proxy::entry_server>(runtime.io, entry_settings_of(s, names),
+                                                traffic.make_hooks(), runtime.metrics);
+  readiness = std::make_unique<control::http_server>(
+      runtime.io, control::http_server_settings{s.readiness.address, s.readiness.port},
+      [this](const control::http_request& request,
+             std::function<void(control::http_response)> done) {
+        if (request.path != hooks.readiness_path) {
+          done(control::error_response(404, "not_found", "only the readiness path is served"));
+        } else if (is_ready()) {
+          done({200, "application/json", "{\"is_ready\":true}", {}});
+        } else {
+          done(control::error_response(503, "not_ready", is_leaving ? "leaving" : "no lease"));
+        }
+      });
+  return base::success();
+}
+
+void entry_node::impl::on_message(std::string_view from, message_kind kind,
+                                  const std::string& body) {
+  const auto now = base::clock::now();
+  switch (kind) {
+  case message_kind::rate_grant:
+  case message_kind::load_total:
+    traffic.receive(from, kind, body, now);
+    break;
+  default:
+    link.receive(from, kind, body, now);
+  }
+}
+
+/// Callers keep an address for a while after it was taken out of the answers, so that the listener
+/// stays open meanwhile.
+void entry_node::impl::begin_stop() {
+  const auto now = base::clock::now();
+  const auto& bounds = runtime.settings.bounds;
+  const auto stop_at = now + bounds.stop_grace - stop_margin;
+  is_leaving = true;
+  link.ask_now();
+  link.tick(now);
+  entry->close_after_answers();
+  stop_timer.expires_at(
+      std::min(now + base::from_seconds(base::to_seconds(bounds.address_lifetime) *
+                                        address_lifetimes),
+               stop_at));
+  stop_timer.async_wait([this, stop_at](boost::system::error_code) { close_entry(stop_at); });
+}
+
+void entry_node::impl::close_entry(base::time_point stop_at) {
+  entry->stop(stop_at, [this](std::size_t cut) {
+    observe::log_info("connections_cut", {{"count", cut}});
+    runtime.end();
+  });
+}
+
+entry_node::entry_node(std::unique_ptr<impl> i) : impl_(std::move(i)) {}
+
+entry_node::~entry_node() = default;
+
+base::result<std::unique_ptr<entry_node>, std::string>
+entry_node::open(settings::role_settings settings, proxy::wire_names names,
+                 entry_node_hooks hooks) {
+  auto made = std::make_unique<impl>(std::move(settings), std::move(names), std::move(hooks));
+  if (auto opened = made->open(); !opened) {
+    return opened.error();
+  }
+  return std::unique_ptr<entry_node>(new entry_node(std::move(made)));
+}
+
+void entry_node::run() {
+  const auto& s = impl_->runtime.settings;
+  observe::log_info("entry_started", {{"id", s.id},
+                                      {"data_centre", s.data_centre},
+                                      {"entry", s.entry.to_string()}});
+  impl_->runtime.run();
+}
+
+} // namespace kingcupshunt::node
--- /dev/null
+++ b/src/node/entry_traffic.cpp
@@ -0,0 +1,443 @@
+#include "entry_traffic.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+#include <utility>
+
+#include "kingcupshunt/base/hash.h"
+#include "kingcupshunt/observe/event_log.h"
+
+namespace kingcupshunt::node {
+
+using peer::message_kind;
+using proxy::ran_state;
+using proxy::refusal;
+
+namespace {
+
+constexpr base::seconds full_report_interval{1}; // relays forget an entry after 2.5 s
+/// Share of the workspace's burst that an instance may use on its own, at least.
+constexpr double least_local_burst = 1.5;
+/// A lookup that waits this many usual times is sent a second time.
+constexpr double hedge_factor = 2.5;
+constexpr base::milliseconds least_hedge{150};
+constexpr base::milliseconds lease_retry_after{500};   // until the next answers of the controls
+constexpr base::milliseconds crowded_retry_after{400}; // about two usual request times
+constexpr base::seconds suspect_retry_after{30};
+
+refusal not_run(unsigned status, std::string reason, std::string message,
+                std::optional<base::milliseconds> retry_after = std::nullopt) {
+  return {status, std::move(reason), std::move(message), ran_state::no, retry_after};
+}
+
+balance::board_settings board_settings_of(const role_runtime& runtime) {
+  balance::board_settings out;
+  out.data_centre = runtime.settings.data_centre;
+  out.seed = runtime.seed;
+  return out;
+}
+
+rates::client_settings rate_settings_of(const role_runtime& runtime) {
+  rates::client_settings out;
+  out.incarnation = runtime.seed;
+  out.max_wait = base::milliseconds(60);
+  return out;
+}
+
+rates::client_hooks rate_hooks_of(role_runtime& runtime) {
+  rates::client_hooks out;
+  out.send = [&runtime](std::string_view to, message_kind kind, std::string body) {
+    runtime.send(to, kind, std::move(body));
+  };
+  return out;
+}
+
+/// The bounds hold for the sum of all instances, so each keeps to less than the share.
+admission::retry_budget_settings retry_settings_of(const settings::role_bounds& b) {
+  admission::retry_budget_settings out;
+  out.share = b.retry_share * 0.8;
+  out.workspace_per_second = 0.15; // kept for 5 s, this starts each instance with one try at most
+  out.instance_per_second = 1000;  // only the account of the service binds
+  return out;
+}
+
+} // namespace
+
+entry_traffic::entry_traffic(role_runtime& runtime, fleet::entry_link& link)
+    : runtime_(runtime), link_(link), board_(board_settings_of(runtime)),
+      rates_(rate_settings_of(runtime), rate_hooks_of(runtime)),
+      retries_(retry_settings_of(runtime.settings.bounds)), rng_(runtime.seed + 1) {}
+
+proxy::hooks entry_traffic::make_hooks() {
+  proxy::hooks out;
+  out.authorize = [this](const proxy::request_head& head) {
+    auto decided = authorize(head);
+    if (!decided) {
+      note_request(head, decided.error());
+    }
+    return decided;
+  };
+  out.admit = [this](const proxy::request_head& head, const proxy::authorized_request& request,
+                     std::function<void(proxy::decided<void>)> done) {
+    admit(request, [this, head, done = std::move(done)](proxy::decided<void> result) {
+      if (!result) {
+        note_request(head, result.error());
+      }
+      done(std::move(result));
+    });
+  };
+  out.finish = [](const proxy::authorized_request&) {};
+  out.pick = [this](const proxy::authorized_request& request, std::uint64_t fingerprint,
+                    const std::vector<std::string>& tried) {
+    return pick(request, fingerprint, tried);
+  };
+  out.report = [this](const proxy::authorized_request& request, const health::attempt& a) {
+    report(request, a);
+  };
+  out.may_retry = [this](const proxy::authorized_request& request, const health::attempt& last) {
+    return may_retry(request, last);
+  };
+  out.hedge_delay = [this](const proxy::authorized_request& request) {
+    return hedge_delay(request);
+  };
+  out.take_hedge = [this](const proxy::authorized_request& request) {
+    return board_.free_slots(request.service->name) > 0 &&
+           retries_.withdraw(request.service->name, base::clock::now());
+  };
+  return out;
+}
+
+const config::route_part* entry_traffic::choose_part(const config::route& route) {
+  double total = 0;
+  for (const auto& part : route.parts) {
+    total += part.weight;
+  }
+  if (total <= 0) {
+    return nullptr;
+  }
+  auto it = parts_.find(route.name);
+  if (it == parts_.end()) {
+    it = parts_.emplace(route.name, part_counter{0, rng_.unit()}).first;
+  }
+  // Multiples of the golden ratio spread evenly, so that short runs keep close to the weights.
+  const double at =
+      std::fmod(static_cast<double>(++it->second.n) / std::numbers::phi + it->second.offset, 1.0);
+  double sum = 0;
+  for (const auto& part : route.parts) {
+    sum += part.weight / total;
+    if (at < sum) {
+      return &part;
+    }
+  }
+  return &route.parts.back();
+}
+
+proxy::decided<proxy::authorized_request>
+entry_traffic::authorize(const proxy::request_head& head) {
+  const auto now = base::clock::now();
+  if (!link_.has_document()) {
+    return not_run(503, "no_configuration", "no configuration is known yet", lease_retry_after);
+  }
+  const bool is_fresh = link_.is_fresh();
+  const auto& configuration = link_.configuration();
+  proxy::authorized_request out;
+  out.route = configuration.find_route(head.host, head.method, head.path);
+  // Without a lease a newer configuration may allow what this one does not.
+  const bool is_denied_here = !out.route || !out.route->is_open;
+  if (!is_fresh && is_denied_here) {
+    return not_run(503, "stale_configuration", "no contact with a majority of control instances",
+                   lease_retry_after);
+  }
+  if (!out.route) {
+    return not_run(404, "no_route", "no route matches this request");
+  }
+  const auto* part = out.route->parts.empty() ? nullptr : choose_part(*out.route);
+  out.service = configuration.find_service(part != nullptr ? part->service : out.route->service);
+  if (!out.service) {
+    return not_run(503, "no_service", "the route leads to no service");
+  }
+  out.serial = ++serial_;
+  const auto timeout = out.route->timeout.count() > 0 ? out.route->timeout : out.service->timeout;
+  out.deadline = now + timeout;
+  if (head.patience) {
+    out.deadline = std::min(out.deadline, head.arrived + *head.patience);
+  }
+  if (out.route->is_open) {
+    return out;
+  }
+  if (!head.bearer_key) {
+    return not_run(401, "key_missing", "this route needs a key");
+  }
+  const auto key = configuration.find_key(base::sha256(*head.bearer_key));
+  if (!key || key->is_withdrawn) {
+    return not_run(401, key ? "key_withdrawn" : "key_unknown", "the key is not accepted");
+  }
+  out.workspace = configuration.find_workspace(key->workspace);
+  if (!out.workspace) {
+    return not_run(401, "workspace_unknown", "the key's workspace does not exist");
+  }
+  return out;
+}
+
+/// While the owner is away, every instance spends an equal share of the rate.
+bool entry_traffic::take_local(const config::workspace& workspace, base::time_point now) {
+  const double n = link_.entry_count();
+  const double burst = std::max(workspace.burst / n, least_local_burst);
+  auto it = local_.find(workspace.name);
+  if (it == local_.end()) {
+    it = local_.emplace(workspace.name, local_bucket{burst / 2, now}).first;
+  }
+  auto& b = it->second;
+  b.tokens = std::min(burst, b.tokens + workspace.rate / n * base::to_seconds(now - b.at));
+  b.at = now;
+  if (b.tokens < 1) {
+    return false;
+  }
+  b.tokens -= 1;
+  return true;
+}
+
+void entry_traffic::admit(const proxy::authorized_request& request,
+                          std::function<void(proxy::decided<void>)> done) {
+  const auto now = base::clock::now();
+  retries_.deposit(request.service->name, now);
+  if (!request.workspace || request.workspace->is_unlimited) {
+    enter_gate(request, std::move(done));
+    return;
+  }
+  rates_.acquire(
+      request.workspace->name, now, request.deadline,
+      [this, request, done = std::move(done)](rates::acquired result) {
+        if (result) {
+          enter_gate(request, done);
+          return;
+        }
+        const auto& r = result.error();
+        if (r.reason == rates::refusal_reason::over_rate) {
+          done(not_run(429, "over_rate", "the workspace has used its rate and burst",
+                       r.retry_after));
+        } else if (take_local(*request.workspace, base::clock::now())) {
+          runtime_.metrics.count("rate_local_total", rates::to_string(r.reason));
+          enter_gate(request, done);
+        } else {
+          done(not_run(429, rates::to_string(r.reason),
+                       "the owner of the workspace's rate is away and the local share is used"));
+        }
+      });
+}
+
+admission::gate_room entry_traffic::room_of(const std::string& service) const {
+  admission::gate_room out;
+  out.free_slots = board_.free_slots(service);
+  if (const auto usual = board_.usual_time(service)) {
+    out.starts_per_second = board_.slots(service) / base::to_seconds(*usual) / link_.entry_count();
+  }
+  return out;
+}
+
+void entry_traffic::enter_gate(const proxy::authorized_request& request,
+                               std::function<void(proxy::decided<void>)> done) {
+  const auto now = base::clock::now();
+  const auto& service = request.service->name;
+  admission::gate_request asked;
+  asked.rank = request.workspace && request.workspace->rank ? *request.workspace->rank
+                                                            : request.route->rank;
+  asked.latest_start = request.deadline - board_.usual_time(service).value_or(base::duration{});
+  gates_[service].enter(asked, room_of(service), now,
+                        [done = std::move(done)](admission::gate_result refused) {
+                          if (!refused) {
+                            done(base::success());
+                          } else {
+                            done(not_run(503, "servers_full", "no server has room in time",
+                                         crowded_retry_after));
+                          }
+                        });
+}
+
+void entry_traffic::dispatch(const std::string& service, base::time_point now) {
+  const auto it = gates_.find(service);
+  // Each request that passes takes its slot before the next look.
+  while (it != gates_.end() && it->second.waiting() > 0) {
+    auto room = room_of(service);
+    const auto before = it->second.waiting();
+    room.free_slots = std::min<std::uint32_t>(room.free_slots, 1);
+    if (it->second.dispatch(room, now) == 0 || it->second.waiting() >= before ||
+        board_.free_slots(service) == 0) {
+      break;
+    }
+  }
+}
+
+proxy::decided<proxy::upstream_target>
+entry_traffic::pick(const proxy::authorized_request& request, std::uint64_t fingerprint,
+                    const std::vector<std::string>& tried) {
+  const auto now = base::clock::now();
+  // The request may have waited, and the machine may have stood still meanwhile.
+  if (!request.route->is_open && !link_.is_fresh()) {
+    return not_run(503, "stale_configuration", "no contact with a majority of control instances",
+                   lease_retry_after);
+  }
+  if (crashes_.is_suspect(fingerprint, now)) {
+    return not_run(503, "crash_suspect", "this request ended the servers that ran it before",
+                   suspect_retry_after);
+  }
+  auto chosen = board_.begin(request.service->name, request.serial, request.route->is_repeatable,
+                             tried, now);
+  if (!chosen) {
+    switch (chosen.error()) {
+    case balance::board_error::unknown_service:
+      return not_run(503, "no_server", "no server of the service is known", lease_retry_after);
+    case balance::board_error::all_tried:
+      return not_run(503, "no_other_server", "the request has met every server");
+    case balance::board_error::all_busy:
+      break;
+    }
+    auto busy = not_run(503, "servers_full", "every server is full", crowded_retry_after);
+    busy.is_passing = tried.empty();
+    return busy;
+  }
+  const auto& record = chosen.value();
+  proxy::upstream_target out;
+  out.id = record.id;
+  out.instance = record.id;
+  const auto colon = record.address.rfind(':');
+  out.address = record.address.substr(0, colon);
+  out.port = static_cast<std::uint16_t>(
+      std::strtoul(record.address.c_str() + (colon == std::string::npos ? 0 : colon + 1), nullptr,
+                   10));
+  return out;
+}
+
+void entry_traffic::report(const proxy::authorized_request& request, const health::attempt& a) {
+  const auto now = base::clock::now();
+  board_.end(a.upstream, request.serial, a, now);
+  switch (a.end) {
+  case health::attempt_end::closed_unanswered:
+  case health::attempt_end::stale_connection:
+    crashes_.note_ended(a.fingerprint, a.upstream, now);
+    break;
+  case health::attempt_end::ok:
+  case health::attempt_end::error_status:
+    crashes_.note_answered(a.fingerprint);
+    break;
+  default:
+    break;
+  }
+  if (board_.has_failures()) {
+    send_report(now);
+  }
+  dispatch(request.service->name, now);
+}
+
+bool entry_traffic::may_retry(const proxy::authorized_request& request,
+                              const health::attempt& last) {
+  const auto now = base::clock::now();
+  const bool is_certain = health::is_certainly_not_run(last.end);
+  if (!request.route->is_repeatable && !is_certain) {
+    return false;
+  }
+  // An upstream counts as met only when the request has reached it.
+  if (last.end == health::attempt_end::connect_failed) {
+    return true;
+  }
+  return retries_.withdraw(request.service->name, now);
+}
+
+std::optional<base::duration>
+entry_traffic::hedge_delay(const proxy::authorized_request& request) const {
+  const auto usual = board_.usual_time(request.service->name);
+  if (!request.route->is_repeatable || !usual) {
+    return std::nullopt;
+  }
+  const auto delay = std::max<base::duration>(
+      base::from_seconds(base::to_seconds(*usual) * hedge_factor), least_hedge);
+  const bool is_useful = base::clock::now() + delay + *usual < request.deadline;
+  return is_useful ? std::optional(delay) : std::nullopt;
+}
+
+void entry_traffic::on_server(const fleet::server_record& record) {
+  board_.set_record(record, base::clock::now());
+}
+
+void entry_traffic::follow_controls() {
+  runtime_.set_peers(link_.controls());
+  const auto& lease = link_.lease();
+  if (lease.voters().empty() || lease.voters_index() == view_index_) {
+    return;
+  }
+  view_index_ = lease.voters_index();
+  membership::fleet_view view;
+  view.version = view_index_ + 1;
+  for (const auto& id : lease.voters()) {
+    view.members.push_back({id, "", "", "", true});
+  }
+  rates_.set_view(view, base::clock::now());
+}
+
+void entry_traffic::receive(std::string_view from, message_kind kind, std::string_view body,
+                            base::time_point now) {
+  if (kind == message_kind::rate_grant) {
+    rates_.receive(from, kind, body, now);
+    return;
+  }
+  const auto total = peer::unpack<fleet::load_report>(body);
+  if (kind != message_kind::load_total || !total) {
+    runtime_.metrics.count("malformed_messages_total");
+    return;
+  }
+  if (from != relay_) {
+    return; // a former relay knows only a part
+  }
+  board_.take_total(*total, now);
+  for (const auto& note : total->failures) {
+    if (note.kind == fleet::failure_kind::reset) {
+      crashes_.note_ended(note.fingerprint, note.server, now);
+    }
+  }
+  for (const auto& [service, gate] : gates_) {
+    dispatch(service, now);
+  }
+}
+
+void entry_traffic::send_report(base::time_point now) {
+  const auto relay = link_.relay(now);
+  if (relay != relay_) {
+    relay_ = relay;
+    board_.forget_others();
+    full_report_at_ = {};
+  }
+  if (relay_.empty()) {
+    return;
+  }
+  auto report = board_.take_report();
+  if (now >= full_report_at_) {
+    full_report_at_ = now + full_report_interval;
+    report.loads = board_.full_report().loads;
+  }
+  if (!report.loads.empty() || !report.failures.empty()) {
+    runtime_.send(relay_, message_kind::load_pulse, peer::pack(report));
+  }
+}
+
+void entry_traffic::tick(base::time_point now) {
+  rates_.tick(now);
+  board_.tick(now);
+  send_report(now);
+  for (const auto& [service, gate] : gates_) {
+    dispatch(service, now);
+  }
+  crashes_.forget(now);
+}
+
+void entry_traffic::note_request(const proxy::request_head& head, const refusal& r) {
+  observe::log_info("request_refused",
+                    {{"request_id", head.request_id},
+                     {"status", r.status},
+                     {"reason", r.reason},
+                     {"version", link_.version()},
+                     {"is_fresh", link_.is_fresh()},
+                     {"retry_after_ms", r.retry_after ? r.retry_after->count() : 0}});
+}
+
+} // namespace kingcupshunt::node
--- /dev/null
+++ b/src/node/entry_traffic.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kingcupshunt/admission/crash_marks.h"
+#include "kingcupshunt/admission/retry_budget.h"
+#include "kingcupshunt/admission/service_gate.h"
+#include "kingcupshunt/balance/server_board.h"
+#include "kingcupshunt/fleet/entry_link.h"
+#include "kingcupshunt/proxy/hooks.h"
+#include "kingcupshunt/rates/client.h"
+#include "kingcupshunt/settings/role_settings.h"
+#include "role_runtime.h"
+
+namespace kingcupshunt::node {
+
+/// Decisions of an entry instance about requests: lease and key, rate, turn, server, retries.
+/// Lives on the event loop of its process.
+class entry_traffic {
+public:
+  entry_traffic(role_runtime& runtime, fleet::entry_link& link);
+
+  proxy::hooks make_hooks();
+
+  void on_server(const fleet::server_record& record);
+  void follow_controls();
+  void receive(std::string_view from, peer::message_kind kind, std::string_view body,
+               base::time_point now);
+  void tick(base::time_point now);
+
+  balance::server_board& board() noexcept { return board_; }
+
+private:
+  /// Bounds a workspace while the owner of its rate does not answer.
+  struct local_bucket {
+    double tokens = 0;
+    base::time_point at{};
+  };
+  struct part_counter {
+    std::uint64_t n = 0;
+    double offset = 0; ///< of the low-discrepancy sequence, so that instances differ
+  };
+
+  proxy::decided<proxy::authorized_request> authorize(const proxy::request_head& head);
+  const config::route_part* choose_part(const config::route& route);
+  void admit(const proxy::authorized_request& request,
+             std::function<void(proxy::decided<void>)> done);
+  void enter_gate(const proxy::authorized_request& request,
+                  std::function<void(proxy::decided<void>)> done);
+  bool take_local(const config::workspace& workspace, base::time_point now);
+  proxy::decided<proxy::upstream_target> pick(const proxy::authorized_request& request,
+                                              std::uint64_t fingerprint,
+                                              const std::vector<std::string>& tried);
+  void report(const proxy::authorized_request& request, const health::attempt& a);
+  bool may_retry(const proxy::authorized_request& request, const health::attempt& last);
+  std::optional<base::duration> hedge_delay(const proxy::authorized_request& request) const;
+  admission::gate_room room_of(const std::string& service) const;
+  void dispatch(const std::string& service, base::time_point now);
+  void send_report(base::time_point now);
+  void note_request(const proxy::request_head& head, const proxy::refusal& r);
+
+  role_runtime& runtime_;
+  fleet::entry_link& link_;
+  balance::server_board board_;
+  rates::client rates_;
+  admission::retry_budget retries_;
+  admission::crash_marks crashes_;
+  std::map<std::string, admission::service_gate, std::less<>> gates_;
+  std::map<std::string, local_bucket, std::less<>> local_;
+  std::map<std::string, part_counter, std::less<>> parts_;
+  std::string relay_;
+  base::time_point full_report_at_{};
+  std::uint64_t serial_ = 0;
+  std::uint64_t view_index_ = 0;
+  base::rng rng_;
+};
+
+} // namespace kingcupshunt::node
--- /dev/null
+++ b/src/node/role_runtime.cpp
@@ -0,0 +1,121 @@
+#include "role_runtime.h"
+
+#include <utility>
+#include <vector>
+
+#include <boost/asio/post.hpp>
+
+#include "kingcupshunt/base/hash.h"
+#include "kingcupshunt/observe/event_log.h"
+
+namespace kingcupshunt::node {
+
+namespace {
+
+constexpr base::milliseconds tick_interval{25};  // half of the age that load sums may have
+constexpr base::seconds reload_interval{1};      // settings may change without a signal
+
+std::uint64_t random_number() {
+  return base::hash64(base::random_bytes(sizeof(std::uint64_t))) | 1U;
+}
+
+peer::transport_settings transport_settings_of(const settings::role_settings& s) {
+  peer::transport_settings out;
+  out.self_id = s.id;
+  out.fleet = s.fleet;
+  out.secret = s.fleet_secret;
+  out.listen_address = s.peer.to_string();
+  out.limits.greatest_backoff = base::milliseconds(500); // a healed cut is to be used soon
+  out.limits.connect_timeout = base::milliseconds(1000);
+  out.limits.silence = base::milliseconds(1500);
+  out.seed = random_number();
+  return out;
+}
+
+} // namespace
+
+role_runtime::role_runtime(settings::role_settings s, role_hooks hooks)
+    : settings(std::move(s)), seed(random_number()), hooks_(std::move(hooks)) {}
+
+base::result<void, std::string> role_runtime::start() {
+  transport = std::make_unique<peer::transport>(io, transport_settings_of(settings));
+  transport->on_message([this](std::string_view from, peer::message_kind kind,
+                               const std::string& body) { hooks_.on_message(from, kind, body); });
+  if (auto started = transport->start(); !started) {
+    return settings.peer.to_string() + ": " + peer::message_of(started.error());
+  }
+  if (settings.metrics.port != 0) {
+    metrics_server_ = std::make_unique<control::http_server>(
+        io, control::http_server_settings{settings.metrics.address, settings.metrics.port},
+        [this](const control::http_request&, std::function<void(control::http_response)> done) {
+          done({200, "text/plain; version=0.0.4", metrics.serialize(), {}});
+        });
+  }
+  return base::success();
+}
+
+void role_runtime::send(std::string_view to, peer::message_kind kind, std::string body) {
+  metrics.count("peer_messages_total");
+  metrics.count("peer_bytes_total", {}, static_cast<double>(body.size()));
+  if (to == settings.id) {
+    boost::asio::post(io, [this, kind, body = std::move(body)] {
+      hooks_.on_message(settings.id, kind, body);
+    });
+    return;
+  }
+  transport->send(to, kind, std::move(body));
+}
+
+void role_runtime::set_peers(const std::set<std::string, std::less<>>& ids) {
+  std::vector<peer::peer_address> peers;
+  for (const auto& id : ids) {
+    if (id != settings.id) {
+      peers.push_back({id, id + ":" + std::to_string(settings.peer.port)});
+    }
+  }
+  transport->set_peers(peers);
+}
+
+void role_runtime::schedule_tick() {
+  timer_.expires_after(tick_interval);
+  timer_.async_wait([this](boost::system::error_code ec) {
+    if (ec) {
+      return;
+    }
+    const auto now = base::clock::now();
+    hooks_.on_tick(now);
+    if (now >= reload_at_) {
+      reload_at_ = now + reload_interval;
+      hooks_.on_reload();
+    }
+    schedule_tick();
+  });
+}
+
+void role_runtime::wait_for_signal() {
+  signals_.async_wait([this](boost::system::error_code ec, int signal) {
+    if (ec) {
+      return;
+    }
+    if (signal == SIGHUP) {
+      observe::log_info("reload", {{"signal", signal}});
+      hooks_.on_reload();
+    } else if (!std::exchange(is_stopping_, true)) {
+      observe::log_info("stop_begins", {{"signal", signal}});
+      hooks_.on_stop();
+    }
+    wait_for_signal();
+  });
+}
+
+void role_runtime::run() {
+  signals_.add(SIGTERM);
+  signals_.add(SIGINT);
+  signals_.add(SIGHUP);
+  wait_for_signal();
+  schedule_tick();
+  io.run();
+  observe::log_info("stop_ends", {{"id", settings.id}});
+}
+
+} // namespace kingcupshunt::node
--- a/src/proxy/body_reader.cpp
+++ b/src/proxy/body_reader.cpp
@@ -61,6 +61,11 @@
       co_return body_piece{0, body_state::malformed};
     }
     const auto ec = co_await stream.read_some();
+    if (ec == boost::asio::error::eof && parser.need_eof()) {
+      error_code at_end;
+      parser.put_eof(at_end);
+      co_return body_piece{0, at_end ? body_state::malformed : body_state::done};
+    }
     if (ec) {
       co_return body_piece{0, stream.is_timed_out() ? body_state::timed_out : body_state::closed};
     }
--- a/src/proxy/entry_server.cpp
+++ b/src/proxy/entry_server.cpp
@@ -115,7 +115,7 @@
 void entry_server::impl::refuse_connection(tcp::socket& socket, const char* reason) {
   context->metrics.count_refusal(reason);
   const refusal r{503, reason, "too many open connections", ran_state::no, std::nullopt};
-  const auto text = refusal_answer(r, context->next_request_id(), false, true);
+  const auto text = refusal_answer(r, context->next_request_id(), false, true, context->settings.names);
   error_code ec;
   socket.non_blocking(true, ec);
   socket.write_some(asio::buffer(text), ec);
@@ -209,6 +209,18 @@
   impl_->context->intercept = std::move(answer);
 }
 
+void entry_server::close_after_answers() {
+  impl_->context->is_stopping_soon = true;
+}
+
+void entry_server::set_caller_limits(std::size_t head_bytes, base::milliseconds head_timeout,
+                                     base::milliseconds idle_timeout) {
+  auto& settings = impl_->context->settings;
+  settings.max_head_bytes = head_bytes;
+  settings.head_timeout = head_timeout;
+  settings.idle_timeout = idle_timeout;
+}
+
 void entry_server::stop(base::time_point deadline, std::function<void(std::size_t)> done) {
   error_code ignored;
   impl_->context->is_stopping = true;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -126,7 +126,7 @@
 awaitable<bool> exchange::connect() {
   const auto stream = connection_->stream;
   if (was_reused_) {
-    stream->expires_at(request_->deadline);
+    stream->expires_at(wait_limit());
     co_return true;
   }
   stream->expires_at(
@@ -140,7 +140,7 @@
     end_ = attempt_end::connect_failed;
     co_return false;
   }
-  stream->expires_at(request_->deadline);
+  stream->expires_at(wait_limit());
   co_return !is_cancelled_;
 }
 
@@ -148,11 +148,13 @@
   const auto stream = connection_->stream;
   const auto left = request_->deadline - base::clock::now();
   stream->reset_written();
-  const auto deadline = deadline_field(base::to_ms(left));
+  const auto fields = try_fields(base::to_ms(left), target_.instance, context_.settings.names);
   // Set before the write: a cancel that comes before the write's completion is handled must not
   // take the request for one of which nothing was sent.
   const bool was_sent_before = std::exchange(was_sent_, true);
-  const auto ec = co_await stream->write(request_->head, deadline, request_->body);
+  const bool is_parallel = request_->body.size() >= context_.settings.parallel_write_bytes;
+  const auto ec = co_await stream->write(request_->head, fields,
+                                         is_parallel ? std::string_view{} : request_->body);
   was_sent_ = was_sent_before || stream->written() > 0;
   sent_at_ = base::clock::now();
   if (ec && !is_cancelled_ && stream->written() == 0) {
@@ -160,7 +162,12 @@
     co_return false;
   }
   // After a partial write an answer may still have come, so that it is read.
-  is_body_sent_ = !request_->is_streamed && !ec;
+  is_body_sent_ = !request_->is_streamed && !ec && !is_parallel;
+  if (is_parallel && !ec && !is_cancelled_) {
+    asio::co_spawn(
+        context_.executor, [self = shared_from_this()] { return self->write_rest(); },
+        asio::detached);
+  }
   is_ready_for_body_ = request_->is_streamed && !ec;
   if (was_reused_ && is_body_sent_) {
     silent_since_ = sent_at_;
@@ -169,6 +176,24 @@
   co_return !is_cancelled_;
 }
 
+/// Writes the body beside the wait for the answer: an upstream may refuse a long request before it
+/// has read it. The connection is kept only when the body has gone out whole before the answer ends.
+awaitable<void> exchange::write_rest() {
+  const auto connection = connection_;
+  if (!connection) {
+    co_return;
+  }
+  const auto ec = co_await connection->stream->write(request_->body);
+  if (!ec && connection == connection_) {
+    is_body_sent_ = true;
+    sent_at_ = base::clock::now();
+  }
+}
+
+base::time_point exchange::wait_limit() const {
+  return request_->deadline + context_.settings.answer_grace;
+}
+
 void exchange::fail_read(bool has_bytes) {
   const auto& stream = *connection_->stream;
   if (stream.is_timed_out()) {
@@ -224,10 +249,21 @@
     if (parse_head(*stream, *parser_, size)) {
       co_return false;
     }
-    if (check_answer(answer(), request_->is_head) != nullptr) {
+    if (check_answer(answer(), request_->is_head,
+                     context_.settings.names.may_answer_end_with_connection) != nullptr) {
       co_return false;
     }
+    if (is_foreign_answer()) {
+      const bool is_skipped = co_await skip_foreign_answer();
+      if (!is_skipped) {
+        co_return false;
+      }
+      continue;
+    }
     if (answer().result_int() >= 200) {
+      if (check_own_answer() != nullptr) {
+        co_return false;
+      }
       end_ = end_of_status();
       co_return true;
     }
@@ -235,10 +271,57 @@
   }
 }
 
+/// An answer with another request's id: a late or repeated one of an earlier request.
+bool exchange::is_foreign_answer() const {
+  const auto& names = context_.settings.names;
+  if (!names.is_request_id_echoed) {
+    return false;
+  }
+  const auto id = answer()[names.request_id];
+  return !id.empty() && id != request_->request_id;
+}
+
+/// Reads a foreign answer to its end; the own one follows it on the connection.
+awaitable<bool> exchange::skip_foreign_answer() {
+  context_.metrics.count("upstream_foreign_answers_total");
+  if (parser_->need_eof()) {
+    co_return false; // nothing can follow it
+  }
+  std::string piece(std::size_t{4} * 1024, '\0');
+  while (!parser_->is_done()) {
+    const auto got = co_await read_body(*connection_->stream, *parser_, piece.data(), piece.size());
+    if (is_cancelled_ || (got.state != body_state::more && got.state != body_state::done)) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+/// What makes a success unusable: it can't be told whose it is, or its body is not the upstream's.
+const char* exchange::check_own_answer() const {
+  const auto& names = context_.settings.names;
+  const bool is_success = answer().result_int() < 300;
+  if (!is_success) {
+    return nullptr;
+  }
+  if (names.is_request_id_echoed && answer().count(names.request_id) == 0) {
+    return "a success without the request's id";
+  }
+  if (!names.signature.empty() && (answer().count(names.signature) == 0 ||
+                                   answer().count(http::field::content_encoding) > 0)) {
+    return "a success without signature or with an encoded body";
+  }
+  return nullptr;
+}
+
 attempt_end exchange::end_of_status() const {
   const auto status = answer().result_int();
+  const auto& names = context_.settings.names;
+  const bool is_other_instance = status == 421 && !names.expected_instance.empty();
   const bool is_shed =
-      status == 429 || (status == 503 && answer().count(http::field::retry_after) > 0);
+      names.not_run.empty()
+          ? status == 429 || (status == 503 && answer().count(http::field::retry_after) > 0)
+          : is_other_instance || answer().count(names.not_run) > 0;
   if (is_shed) {
     return attempt_end::shed;
   }
@@ -265,8 +348,10 @@
   }
   const auto limit = context_.settings.max_stored_answer_bytes;
   const auto length = answer_length();
-  const bool is_wanted =
-      length ? *length <= limit : request_->must_store || answer().result_int() >= 500;
+  const bool must_see_end = context_.settings.names.may_answer_end_with_connection;
+  const bool is_wanted = length ? *length <= limit
+                                : must_see_end || request_->must_store ||
+                                      answer().result_int() >= 500;
   if (!is_wanted) {
     co_return;
   }
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -21,6 +21,7 @@
   bool is_head = false;      ///< HEAD: the answer has no body
   bool is_resendable = true; ///< may be sent again although bytes of it went out
   bool must_store = false;   ///< the answer is collected whatever its framing
+  std::string request_id;    ///< that the answer is to echo, where it does
   base::time_point deadline;
 };
 
@@ -78,6 +79,11 @@
   awaitable<bool> send();
   awaitable<bool> read_head();
   awaitable<bool> read_head_bytes();
+  awaitable<void> write_rest();
+  awaitable<bool> skip_foreign_answer();
+  bool is_foreign_answer() const;
+  const char* check_own_answer() const;
+  base::time_point wait_limit() const;
   awaitable<void> collect();
   bool may_resend() const;
   void fail_read(bool has_bytes);
--- a/src/proxy/head_checks.cpp
+++ b/src/proxy/head_checks.cpp
@@ -145,7 +145,8 @@
   return std::nullopt;
 }
 
-const char* check_answer(const response_header& head, bool is_bodyless) {
+const char* check_answer(const response_header& head, bool is_bodyless,
+                         bool may_end_with_connection) {
   if (head.result_int() == 101) {
     return "an upgrade that was not asked for";
   }
@@ -155,7 +156,8 @@
   const bool has_framing =
       head.count(http::field::content_length) > 0 || head.count(http::field::transfer_encoding) > 0;
   const auto status = head.result_int();
-  if (!has_framing && !is_bodyless && status != 204 && status != 304 && status >= 200) {
+  if (!has_framing && !may_end_with_connection && !is_bodyless && status != 204 && status != 304 &&
+      status >= 200) {
     return "neither Content-Length nor chunked";
   }
   return nullptr;
@@ -225,15 +227,15 @@
   return path;
 }
 
-base::result<std::optional<std::string>, refusal> bearer_key_of(const request_header& head) {
+base::result<std::optional<std::string>, refusal> bearer_key_of(const request_header& head,
+                                                                std::string_view scheme) {
   const auto count = head.count(http::field::authorization);
   if (count > 1) {
     return bad_request("bad_authorization", "the Authorization header is repeated");
   }
-  constexpr std::string_view scheme = "bearer ";
   auto value = view_of(head[http::field::authorization]);
   const bool is_bearer =
-      value.size() > scheme.size() &&
+      value.size() > scheme.size() && value[scheme.size()] == ' ' &&
       boost::beast::iequals({value.data(), scheme.size()}, {scheme.data(), scheme.size()});
   if (!is_bearer) {
     return std::optional<std::string>{};
--- a/src/proxy/header_rewrite.cpp
+++ b/src/proxy/header_rewrite.cpp
@@ -97,12 +97,26 @@
   }
 }
 
-bool is_replaced_in_request(std::string_view name) noexcept {
+bool is_replaced_in_request(std::string_view name, const wire_names& names) noexcept {
   return is_equal_nocase(name, "authorization") || is_equal_nocase(name, "expect") ||
-         is_equal_nocase(name, "content-length") || is_equal_nocase(name, "x-request-id") ||
+         is_equal_nocase(name, "content-length") || is_equal_nocase(name, names.request_id) ||
+         is_equal_nocase(name, names.caller_timeout) ||
+         is_equal_nocase(name, names.upstream_timeout) || is_equal_nocase(name, names.workspace) ||
+         is_equal_nocase(name, names.expected_instance) ||
          has_prefix_nocase(name, "x-kingcupshunt-");
 }
 
+/// Whole seconds are rounded up, so that a caller that obeys is not refused again.
+std::string retry_after_value(base::milliseconds wait, const wire_names& names) {
+  const auto ms = std::max<std::int64_t>(wait.count(), 1);
+  if (!names.has_fractional_retry_after) {
+    return std::to_string((ms + 999) / 1000);
+  }
+  std::array<char, 32> text{};
+  const int size = std::snprintf(text.data(), text.size(), "%.3f", static_cast<double>(ms) / 1000);
+  return {text.data(), static_cast<std::size_t>(size)};
+}
+
 } // namespace
 
 bool is_hop_by_hop(std::string_view name, std::string_view connection_value) noexcept {
@@ -134,7 +148,7 @@
 
 std::string upstream_head(const request_header& head, const std::optional<std::string>& key,
                           std::string_view workspace, std::string_view request_id,
-                          const body_framing& framing) {
+                          const body_framing& framing, const wire_names& names) {
   const auto connection = connection_values(head);
   std::string out;
   out.reserve(512);
@@ -143,7 +157,7 @@
   for (const auto& field : head) {
     const auto name = view_of(field.name_string());
     const auto value = view_of(field.value());
-    if (is_replaced_in_request(name) || is_hop_by_hop(name, connection)) {
+    if (is_replaced_in_request(name, names) || is_hop_by_hop(name, connection)) {
       continue;
     }
     if (key && (contains_key(name, *key) || contains_key(value, *key))) {
@@ -153,15 +167,21 @@
   }
   append_framing(out, framing);
   if (!workspace.empty()) {
-    append_field(out, "X-Kingcupshunt-Workspace", workspace);
+    append_field(out, names.workspace, workspace);
   }
-  append_field(out, "X-Request-Id", request_id);
+  append_field(out, names.request_id, request_id);
   return out;
 }
 
-std::string deadline_field(std::int64_t remaining_ms) {
-  return "X-Kingcupshunt-Deadline-Ms: " + std::to_string(std::max<std::int64_t>(remaining_ms, 0)) +
-         "\r\n\r\n";
+std::string try_fields(std::int64_t remaining_ms, std::string_view instance,
+                       const wire_names& names) {
+  std::string out;
+  append_field(out, names.upstream_timeout,
+               std::to_string(std::max<std::int64_t>(remaining_ms, 0)));
+  if (!names.expected_instance.empty() && !instance.empty()) {
+    append_field(out, names.expected_instance, instance);
+  }
+  return out.append("\r\n");
 }
 
 std::string chunk_size_line(std::size_t n) {
@@ -171,7 +191,7 @@
 }
 
 std::string caller_head(const response_header& head, const body_framing& framing,
-                        std::string_view request_id, bool is_close) {
+                        std::string_view request_id, bool is_close, const wire_names& names) {
   const auto connection = connection_values(head);
   std::string out = "HTTP/1.1 " + std::to_string(head.result_int()) + " ";
   out.reserve(512);
@@ -179,14 +199,14 @@
   for (const auto& field : head) {
     const auto name = view_of(field.name_string());
     const bool is_replaced = is_equal_nocase(name, "content-length") ||
-                             is_equal_nocase(name, "x-request-id") ||
+                             is_equal_nocase(name, names.request_id) ||
                              has_prefix_nocase(name, "x-kingcupshunt-");
     if (!is_replaced && !is_hop_by_hop(name, connection)) {
       append_field(out, name, view_of(field.value()));
     }
   }
   append_framing(out, framing);
-  append_field(out, "X-Request-Id", request_id);
+  append_field(out, names.request_id, request_id);
   if (is_close) {
     append_field(out, "Connection", "close");
   }
@@ -194,7 +214,7 @@
 }
 
 std::string refusal_answer(const refusal& r, const std::string& request_id, bool is_head,
-                           bool is_close) {
+                           bool is_close, const wire_names& names) {
   const auto body = refusal_body(r, request_id);
   const auto phrase = http::obsolete_reason(static_cast<http::status>(r.status));
   std::string out = "HTTP/1.1 " + std::to_string(r.status) + " ";
@@ -203,11 +223,9 @@
   append_field(out, "Content-Length", std::to_string(body.size()));
   append_field(out, "X-Kingcupshunt-Reason", r.reason);
   append_field(out, "X-Kingcupshunt-Ran", to_string(r.ran));
-  append_field(out, "X-Request-Id", request_id);
+  append_field(out, names.request_id, request_id);
   if (r.retry_after) {
-    // Whole seconds, rounded up, so that a caller that obeys is not refused again.
-    const auto ms = std::max<std::int64_t>(r.retry_after->count(), 1);
-    append_field(out, "Retry-After", std::to_string((ms + 999) / 1000));
+    append_field(out, "Retry-After", retry_after_value(*r.retry_after, names));
   }
   if (is_close) {
     append_field(out, "Connection", "close");
--- a/src/proxy/request_answer.cpp
+++ b/src/proxy/request_answer.cpp
@@ -17,7 +17,7 @@
 
 bool request_run::must_close() const {
   const auto& parser = *caller_->parser;
-  return caller_->is_closing || caller_->has_leftover || context_.is_stopping ||
+  return caller_->is_closing || caller_->has_leftover || context_.is_stopping || context_.is_stopping_soon ||
          !parser.is_done() || !parser.keep_alive() || !caller_->stream->buffered().empty();
 }
 
@@ -43,15 +43,36 @@
 /// no earlier attempt exists, that can't be said.
 refusal request_run::with_key_history(refusal r) const {
   const bool has_history =
-      auth_.route && !auth_.route->is_repeatable && head_.idempotency_key.has_value();
+      is_reserving() && head_.idempotency_key.has_value();
   if (has_history && !was_reserved_ && r.ran == ran_state::no) {
     r.ran = ran_state::unknown;
   }
   return r;
 }
 
+/// Where the status tells whether the request has run: only one that certainly has not is refused
+/// with a status that promises it, and each of these is, so that the caller may come back.
+refusal request_run::as_promise(refusal r) const {
+  constexpr base::milliseconds usual_pause{250}; // about the time in which a slot is freed
+  const bool is_promise = r.status == 408 || r.status == 421 || r.status == 429 || r.status == 503;
+  const bool is_own_failure = r.status == 499 || r.status >= 500;
+  if (is_promise && r.ran != ran_state::no) {
+    r.status = 502;
+    r.retry_after.reset();
+  } else if (is_own_failure && r.ran == ran_state::no) {
+    r.status = 503;
+  }
+  if ((r.status == 503 || r.status == 429) && !r.retry_after) {
+    r.retry_after = usual_pause;
+  }
+  return r;
+}
+
 awaitable<void> request_run::refuse(const refusal& reason) {
-  const auto r = with_key_history(reason);
+  auto r = with_key_history(reason);
+  if (context_.settings.names.is_status_a_promise) {
+    r = as_promise(std::move(r));
+  }
   context_.metrics.count_refusal(r.reason);
   // Framing that was not understood leaves no trust in where the next request begins.
   const bool is_framing_unsure = r.status == 400 || r.status == 501 || r.status == 505;
@@ -60,7 +81,7 @@
     caller_->is_closing = true;
     co_return;
   }
-  const auto text = refusal_answer(r, head_.request_id, is_head_method_, must_close());
+  const auto text = refusal_answer(r, head_.request_id, is_head_method_, must_close(), context_.settings.names);
   co_await write_to_caller(text, {});
 }
 
@@ -91,7 +112,7 @@
     fields.set(http::field::content_type, answer.content_type);
   }
   const body_framing framing{false, answer.body.size()};
-  auto head = caller_head(fields, framing, head_.request_id, must_close());
+  auto head = caller_head(fields, framing, head_.request_id, must_close(), context_.settings.names);
   head.insert(head.size() - 2, "X-Kingcupshunt-Replayed: 1\r\n");
   context_.metrics.count("replayed_answers_total");
   co_await write_to_caller(head, answer.body);
@@ -113,7 +134,7 @@
   if (ex->answer().result_int() == 204) {
     framing = body_framing{};
   }
-  const auto head = caller_head(ex->answer(), framing, head_.request_id, must_close());
+  const auto head = caller_head(ex->answer(), framing, head_.request_id, must_close(), context_.settings.names);
   co_await write_to_caller(head, ex->held());
 }
 
@@ -126,7 +147,7 @@
       ex->cancel();
     }
   };
-  const auto head = caller_head(ex->answer(), framing, head_.request_id, must_close());
+  const auto head = caller_head(ex->answer(), framing, head_.request_id, must_close(), context_.settings.names);
   co_await write_to_caller(head, {});
   std::string piece = ex->held();
   std::size_t size = piece.size();
--- a/src/proxy/request_run.cpp
+++ b/src/proxy/request_run.cpp
@@ -1,6 +1,7 @@
 #include "request_run.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include "kingcupshunt/proxy/head_checks.h"
 #include "kingcupshunt/proxy/header_rewrite.h"
@@ -81,12 +82,13 @@
   const auto& head = caller_->parser->get().base();
   is_head_method_ = head.method() == http::verb::head;
   head_.request_id = context_.next_request_id();
+  head_.arrived = started_;
   head_.method = std::string(head.method_string());
   head_.caller_address = caller_->address;
   if (auto problem = check_request(head)) {
     return problem;
   }
-  auto key = bearer_key_of(head);
+  auto key = bearer_key_of(head, context_.settings.names.key_scheme);
   if (!key) {
     return key.error();
   }
@@ -97,9 +99,7 @@
   }
   head_.path = std::move(path.value());
   head_.host = host_of(view_of(head[http::field::host]));
-  if (const auto id = view_of(head["X-Request-Id"]); is_usable_request_id(id, head_.bearer_key)) {
-    head_.request_id = id;
-  }
+  read_own_fields(head);
   if (const auto it = head.find("Idempotency-Key"); it != head.end()) {
     head_.idempotency_key = std::string(it->value());
   }
@@ -120,6 +120,22 @@
   return std::nullopt;
 }
 
+void request_run::read_own_fields(const request_header& head) {
+  const auto& names = context_.settings.names;
+  const auto id = view_of(head[names.request_id]);
+  if (names.is_request_id_echoed ? !id.empty() : is_usable_request_id(id, head_.bearer_key)) {
+    head_.request_id = id;
+  }
+  if (!names.caller_timeout.empty()) {
+    const auto text = view_of(head[names.caller_timeout]);
+    std::int64_t ms = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), ms);
+    if (ec == std::errc() && end == text.data() + text.size() && ms >= 0) {
+      head_.patience = base::milliseconds(ms);
+    }
+  }
+}
+
 std::optional<refusal> request_run::prepare_body() {
   auto authorized = context_.hook.authorize(head_);
   if (!authorized) {
@@ -127,6 +143,9 @@
   }
   auth_ = std::move(authorized.value());
   auth_.deadline = std::min(auth_.deadline, started_ + context_.settings.total_timeout);
+  if (head_.patience) {
+    auth_.deadline = std::min(auth_.deadline, started_ + *head_.patience);
+  }
 
   const auto& head = caller_->parser->get().base();
   const auto& route = *auth_.route;
@@ -136,7 +155,7 @@
   if (length > route.body_limit) {
     return not_run(413, "body_too_large", "the body is larger than the route allows");
   }
-  if (!route.is_repeatable) {
+  if (!route.is_repeatable && route.needs_idempotency_key) {
     if (!head_.idempotency_key || head_.idempotency_key->empty()) {
       return not_run(428, "idempotency_key_required",
                      "this route needs an Idempotency-Key header, so that a resend is told from "
@@ -147,8 +166,10 @@
                      "the body of a request that may not be repeated is at most 64 KiB");
     }
   }
-  is_streamed_ = !caller_->parser->is_done() && route.is_repeatable &&
-                 (is_chunked_ || length > context_.settings.max_replay_bytes);
+  const bool is_long = length > context_.settings.max_replay_bytes;
+  is_streamed_ = !caller_->parser->is_done() &&
+                 (route.needs_idempotency_key ? route.is_repeatable && (is_chunked_ || is_long)
+                                              : is_long);
   if (is_chunked_ && !is_streamed_) {
     fields_ = head; // the parser adds trailers, which nobody has checked, to its fields
   }
@@ -170,7 +191,7 @@
     fields.set(http::field::cache_control, "max-age=" + std::to_string(answer->max_age->count()));
   }
   const body_framing framing{false, answer->body.size()};
-  const auto head = caller_head(fields, framing, head_.request_id, must_close());
+  const auto head = caller_head(fields, framing, head_.request_id, must_close(), context_.settings.names);
   const std::string_view body = is_head_method_ ? std::string_view{} : answer->body;
   co_await write_to_caller(head, body);
   co_return true;
@@ -203,7 +224,7 @@
     start_watch(caller_);
   }
   prepare_outgoing();
-  if (!auth_.route->is_repeatable) {
+  if (is_reserving()) {
     refused = co_await reserve();
   }
   co_return refused;
@@ -250,11 +271,13 @@
   } else if (head_.content_length || is_chunked_) {
     framing.length = body_.size();
   }
-  out_->head = upstream_head(head, head_.bearer_key, workspace_name(), head_.request_id, framing);
+  out_->head = upstream_head(head, head_.bearer_key, workspace_name(), head_.request_id, framing,
+                             context_.settings.names);
   out_->is_streamed = is_streamed_;
   out_->is_head = is_head_method_;
   out_->is_resendable = auth_.route->is_repeatable && !is_streamed_;
-  out_->must_store = !auth_.route->is_repeatable;
+  out_->must_store = is_reserving();
+  out_->request_id = head_.request_id;
   out_->deadline = auth_.deadline;
   // A streamed body is not read yet; its length stands for it.
   std::string identity = workspace_name();
--- a/src/proxy/request_run.h
+++ b/src/proxy/request_run.h
@@ -32,6 +32,7 @@
   // request_run.cpp: what comes before the first try.
   awaitable<void> try_upstreams();
   std::optional<refusal> prepare();
+  void read_own_fields(const request_header& head);
   std::optional<refusal> prepare_body();
   awaitable<bool> answer_locally();
   awaitable<std::optional<refusal>> gate();
@@ -41,6 +42,10 @@
   awaitable<std::optional<refusal>> read_whole_body();
   awaitable<void> send_continue();
   std::string workspace_name() const;
+  /// The request runs at most once for its idempotency key, over all attempts of its caller.
+  bool is_reserving() const {
+    return auth_.route && !auth_.route->is_repeatable && auth_.route->needs_idempotency_key;
+  }
   void prepare_outgoing();
   template <class Waiting>
   awaitable<std::optional<refusal>> wait_for(const Waiting& waiting);
@@ -48,6 +53,7 @@
   // request_tries.cpp: tries, retries, hedging.
   awaitable<exchange_ptr> find_answer();
   bool was_sent() const;
+  unsigned tries_allowed() const;
   bool start_try();
   awaitable<bool> start_first_try();
   awaitable<bool> start_retry();
@@ -69,6 +75,7 @@
 
   // request_answer.cpp: what the caller gets.
   refusal with_key_history(refusal r) const;
+  refusal as_promise(refusal r) const;
   awaitable<void> refuse(const refusal& reason);
   awaitable<void> write_to_caller(std::string_view head, std::string_view body);
   awaitable<void> deliver(const exchange_ptr& ex);
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -118,8 +118,14 @@
          });
 }
 
+unsigned request_run::tries_allowed() const {
+  const auto of_route = auth_.route->max_tries;
+  return of_route == 0 ? context_.settings.max_tries
+                       : std::min(context_.settings.max_tries, of_route);
+}
+
 bool request_run::start_try() {
-  for (; tries_ < context_.settings.max_tries; ++tries_) {
+  for (; tries_ < tries_allowed(); ++tries_) {
     auto picked = context_.hook.pick(auth_, fingerprint_, tried_);
     if (!picked) {
       if (!failure_) {
@@ -154,7 +160,7 @@
   const bool is_allowed =
       out_->is_resendable || (was_not_sent && !may_have_run_ && body_bytes_ == 0);
   if (!is_allowed || base::clock::now() >= auth_.deadline ||
-      tries_ >= context_.settings.max_tries || caller_->is_gone) {
+      tries_ >= tries_allowed() || caller_->is_gone) {
     co_return false;
   }
   if (!context_.hook.may_retry || !context_.hook.may_retry(auth_, last)) {
@@ -169,12 +175,21 @@
 }
 
 /// A server that was full did not run the request, so it goes to another one, or waits until the
-/// full ones may have a free slot again. This takes nothing from the retry budget: it adds no work
-/// to any server.
+/// full ones may have a free slot again. This takes nothing from the retry budget, since it adds no
+/// work to any server, unless the deployment counts refused tries too.
 awaitable<bool> request_run::try_after_shed(const health::attempt& last) {
   if (may_have_run_ || out_->is_streamed) {
     co_return false;
   }
+  if (context_.settings.names.is_shed_budgeted) {
+    const bool is_allowed = tries_ < tries_allowed() && context_.hook.may_retry &&
+                            context_.hook.may_retry(auth_, last);
+    if (!is_allowed || !start_try()) {
+      co_return false;
+    }
+    context_.metrics.count_retry("shed");
+    co_return true;
+  }
   --tries_;
   full_.push_back(last.upstream);
   auto before = std::exchange(failure_, std::nullopt);
@@ -201,7 +216,8 @@
 void request_run::start_hedge() {
   hedge_at_.reset();
   const auto failure = failure_;
-  if (live_.size() == 1 && start_try()) {
+  const bool is_allowed = !context_.hook.take_hedge || context_.hook.take_hedge(auth_);
+  if (live_.size() == 1 && is_allowed && start_try()) {
     context_.metrics.count_retry("hedge");
   }
   failure_ = failure; // a refused hedge is no failure of the request
--- a/tests/proxy/harness.cpp
+++ b/tests/proxy/harness.cpp
@@ -36,7 +36,7 @@
 
 upstream_target target_of(const std::string& id) {
   const auto colon = id.rfind(':');
-  return {id, id.substr(0, colon), static_cast<std::uint16_t>(std::stoi(id.substr(colon + 1)))};
+  return {id, "", id.substr(0, colon), static_cast<std::uint16_t>(std::stoi(id.substr(colon + 1)))};
 }
 
 } // namespace
--- a/tests/proxy/header_rewrite_test.cpp
+++ b/tests/proxy/header_rewrite_test.cpp
@@ -73,7 +73,7 @@
   CHECK(has(forwarded(h, {false, 5}), "Content-Length: 5\r\n"));
   CHECK(!has(forwarded(h, {true, {}}), "999"));
   CHECK(has(forwarded(h, {true, {}}), "Transfer-Encoding: chunked\r\n"));
-  CHECK(deadline_field(-5) == "X-Kingcupshunt-Deadline-Ms: 0\r\n\r\n");
+  CHECK(try_fields(-5, "") == "X-Kingcupshunt-Deadline-Ms: 0\r\n\r\n");
 }
 
 TEST_CASE("an upstream cannot forge the entry's answer headers") {
