Drop a server whose address answers for another one; recover sooner after a loss of power

Ruled out: lease, connection limits. Change: 421 takes the server out; tries that certainly did not run are not counted against the route; first election after 0.15 to 0.3 s; the newest document alone is parsed; the server table is written down and its records are used for 2.8 s after a restart; refusals are logged in one place. Tests not run on this commit.

--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -38,6 +38,9 @@
   std::uint32_t queued_per_server = 1; ///< requests sent to a server beyond its slots
   double late_factor = 4.0; ///< a request is late after so many times the usual time
   base::duration least_late = base::milliseconds(500);
+  /// A server known only from before a restart of its control instance is used this long without
+  /// a sign of life. By then one that is there has announced itself again.
+  base::duration restored_use = base::milliseconds(2800);
   double latency_gain = 0.2; ///< weight of a new answer in the mean time of a server
 };
 
@@ -76,12 +79,10 @@
   void end(std::string_view server, std::uint64_t request, const health::attempt& a,
            base::time_point now);
 
-  /// Whether some server of the service has a free slot as far as known.
-  bool has_room(std::string_view service, base::time_point now) const;
   /// Free slots of all usable servers of the service as far as known.
-  std::uint32_t free_slots(std::string_view service) const;
+  std::uint32_t free_slots(std::string_view service, base::time_point now) const;
   /// Slots of all usable servers of the service.
-  std::uint32_t slots(std::string_view service) const;
+  std::uint32_t slots(std::string_view service, base::time_point now) const;
   /// Usual time of a request at the service; empty before the first answers.
   std::optional<base::duration> usual_time(std::string_view service) const;
 
@@ -113,6 +114,7 @@
   struct server {
     fleet::server_record record;
     base::time_point cold_until{};
+    base::time_point usable_until = base::time_point::max();
     std::map<std::uint64_t, running> own; ///< by request
     std::uint32_t others = 0;
     std::uint32_t reported = 0; ///< own in flight as last reported
@@ -132,7 +134,7 @@
   double cost(const server& s, const service_state& of, bool is_repeatable,
               base::time_point now) const;
   static std::uint32_t in_flight(const server& s) noexcept;
-  static bool is_usable(const server& s) noexcept;
+  static bool is_usable(const server& s, base::time_point now) noexcept;
   void note_failure(server& s, fleet::failure_kind kind, std::uint64_t fingerprint,
                     base::time_point now);
   double weight_of(fleet::failure_kind kind) const noexcept;
--- a/include/kingcupshunt/consensus/replica.h
+++ b/include/kingcupshunt/consensus/replica.h
@@ -42,6 +42,8 @@
   voter self;
   std::vector<std::string> initial_voters;                    ///< used only while the log is empty
   base::duration election_timeout = base::milliseconds(1000); ///< a random 1 to 2 times this
+  /// Before the first election of a process, also times 1 to 2; 0: as any other.
+  base::duration first_election_timeout{0};
   base::duration heartbeat_interval = base::milliseconds(150);
   base::duration storage_bound = base::milliseconds(1500); ///< a slower write stops this voter
   std::size_t append_bytes = 512U << 10U;
--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -36,6 +36,8 @@
   peer::send_function send;
   /// Parses the text of a document into the merged configuration.
   std::function<document_result<nlohmann::json>(const std::string& text)> parse;
+  /// A document is in force here. May be empty.
+  std::function<void(const nlohmann::json& content)> on_content;
   std::function<bool(std::string_view peer)> is_connected;
   std::function<void(std::string_view event, std::string_view detail)> log; ///< may be empty
 };
@@ -59,9 +61,15 @@
   /// Connects the log; called once before anything else.
   void set_log(document_log* log) { log_ = log; }
 
-  /// The log has a newer document.
+  /// The log has a newer document. It is parsed with the next tick or question, so that a restart
+  /// does not parse all that came before the newest one.
   void on_document(const versioned_document& document);
 
+  /// Records that this instance wrote down before a restart.
+  void restore(std::vector<server_record> records, base::time_point now);
+  /// Records to write down.
+  std::vector<server_record> records() const { return table_.changed_since(0); }
+
   /// Takes an announcement. `done(true)`: it is known where it matters, so that a server that
   /// leaves gets no new request from then on. `done(false)`: this instance can't say so.
   void announce(server_record record, std::function<void(bool)> done, base::time_point now);
@@ -110,6 +118,7 @@
   };
 
   void on_ask(std::string_view from, const entry_ask& ask, base::time_point now);
+  void take_document();
   void on_fetch(std::string_view from, const document_fetch& fetch);
   void on_share(std::string_view from, const record_share& share, base::time_point now);
   void on_share_ack(std::string_view from, const record_share_ack& ack);
@@ -135,6 +144,7 @@
   std::map<std::string, known_entry, std::less<>> entries_;
   std::set<std::string, std::less<>> controls_;
   std::deque<past_document> documents_; ///< newest last
+  std::optional<versioned_document> unparsed_;
   std::map<std::uint64_t, pending_share> shares_;
   std::uint64_t next_call_ = 0;
   std::map<std::string, base::time_point, std::less<>> joins_;
--- a/include/kingcupshunt/fleet/server_record.h
+++ b/include/kingcupshunt/fleet/server_record.h
@@ -32,13 +32,14 @@
   std::uint32_t cold_left_ms = 0; ///< how much longer it is slow after its start
   std::string home;               ///< control instance that it announces itself to
   bool is_silent = false;         ///< its home has missed several announcements
+  bool is_restored = false;       ///< from before a restart of its home, not heard since
 
   bool operator==(const server_record&) const = default;
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("i", id), MSGPACK_NVP("s", service), MSGPACK_NVP("a", address),
                      MSGPACK_NVP("z", data_centre), MSGPACK_NVP("n", slots),
                      MSGPACK_NVP("t", state), MSGPACK_NVP("b", born_ms),
                      MSGPACK_NVP("q", sequence), MSGPACK_NVP("c", cold_left_ms),
-                     MSGPACK_NVP("h", home), MSGPACK_NVP("x", is_silent))
+                     MSGPACK_NVP("h", home), MSGPACK_NVP("x", is_silent), MSGPACK_NVP("o", is_restored))
 };
 
 } // namespace kingcupshunt::fleet
--- a/include/kingcupshunt/proxy/hooks.h
+++ b/include/kingcupshunt/proxy/hooks.h
@@ -49,6 +49,10 @@
                      std::function<void(decided<void>)> done)>
       admit;
 
+  /// The entry answers with a refusal of its own; `tried` names the servers met. May be empty.
+  std::function<void(const request_head&, const refusal&, const std::vector<std::string>& tried)>
+      on_refusal;
+
   /// Gives the turn taken by `admit` back.
   std::function<void(const authorized_request&)> finish;
 
--- a/src/balance/server_board.cpp
+++ b/src/balance/server_board.cpp
@@ -15,6 +15,7 @@
 constexpr double greatest_slowness = 12.0;
 /// A server without answers for this long is taken for as fast as the others again.
 constexpr base::seconds speed_memory{6};
+constexpr std::uint32_t wrong_instance_status = 421;
 constexpr double service_gain = 0.02; ///< weight of a new answer in the mean time of a service
 constexpr double tie_width = 0.05;    ///< costs this close are chosen from at random
 
@@ -47,6 +48,7 @@
     std::erase(services_[s.record.service].servers, record.id);
   }
   s.record = record;
+  s.usable_until = record.is_restored ? now + settings_.restored_use : base::time_point::max();
   if (is_new) {
     s.outcomes = {};
     s.mean_seconds = 0;
@@ -63,8 +65,8 @@
   }
 }
 
-bool server_board::is_usable(const server& s) noexcept {
-  return s.record.state == fleet::server_state::ready;
+bool server_board::is_usable(const server& s, base::time_point now) noexcept {
+  return s.record.state == fleet::server_state::ready && now < s.usable_until;
 }
 
 std::uint32_t server_board::in_flight(const server& s) noexcept {
@@ -129,7 +131,7 @@
   bool is_busy = false;
   for (const auto& id : of->second.servers) {
     auto& s = servers_.find(id)->second;
-    if (!is_usable(s) || std::ranges::find(tried, id) != tried.end()) {
+    if (!is_usable(s, now) || std::ranges::find(tried, id) != tried.end()) {
       continue;
     }
     if (in_flight(s) >= s.record.slots + settings_.queued_per_server) {
@@ -196,6 +198,12 @@
     }
     return;
   }
+  if (a.end == attempt_end::shed && a.status == wrong_instance_status) {
+    // Another server has the address by now, so that this one has ended.
+    s.record.state = fleet::server_state::gone;
+    std::erase(services_[s.record.service].servers, std::string(id));
+    return;
+  }
   if (a.end == attempt_end::shed) {
     // It is fuller than known here; the next load report corrects this.
     s.others = std::max(s.others, s.record.slots);
@@ -218,30 +226,27 @@
                         : of.mean_seconds + service_gain * (seconds - of.mean_seconds);
 }
 
-bool server_board::has_room(std::string_view service, base::time_point) const {
-  return free_slots(service) > 0;
-}
-
-std::uint32_t server_board::free_slots(std::string_view service) const {
+std::uint32_t server_board::free_slots(std::string_view service,
+                                       base::time_point now) const {
   const auto of = services_.find(service);
   std::uint32_t n = 0;
   if (of != services_.end()) {
     for (const auto& id : of->second.servers) {
       const auto& s = servers_.find(id)->second;
       const auto busy = in_flight(s);
-      n += is_usable(s) && busy < s.record.slots ? s.record.slots - busy : 0;
+      n += is_usable(s, now) && busy < s.record.slots ? s.record.slots - busy : 0;
     }
   }
   return n;
 }
 
-std::uint32_t server_board::slots(std::string_view service) const {
+std::uint32_t server_board::slots(std::string_view service, base::time_point now) const {
   const auto of = services_.find(service);
   std::uint32_t n = 0;
   if (of != services_.end()) {
     for (const auto& id : of->second.servers) {
       const auto& s = servers_.find(id)->second;
-      n += is_usable(s) ? s.record.slots : 0;
+      n += is_usable(s, now) ? s.record.slots : 0;
     }
   }
   return n;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -55,6 +55,12 @@
   }
   use_voters(voters_at(log_.last_index()), log_.last_index());
   reset_election_timer(now);
+  if (settings_.first_election_timeout > base::duration{}) {
+    const auto first = settings_.first_election_timeout.count();
+    election_at_ = now + settings_.first_election_timeout +
+                   base::duration(static_cast<base::duration::rep>(
+                       rng_.below(static_cast<std::uint64_t>(first))));
+  }
 }
 
 template <class T, class F>
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -35,6 +35,22 @@
 }
 
 void control_core::on_document(const versioned_document& document) {
+  unparsed_ = document;
+}
+
+void control_core::restore(std::vector<server_record> records, base::time_point now) {
+  for (auto& r : records) {
+    r.is_restored = true;
+    (void)table_.merge(std::move(r), now); // the table is empty
+  }
+  log("servers_restored", "count=" + std::to_string(table_.size()));
+}
+
+void control_core::take_document() {
+  if (!unparsed_) {
+    return;
+  }
+  const auto document = *std::exchange(unparsed_, std::nullopt);
   auto parsed = hooks_.parse(document.text);
   if (!parsed) {
     // It was checked before it was proposed, so this is a fault of this program.
@@ -46,6 +62,9 @@
     documents_.pop_front();
   }
   log("document_in_force", "version=" + std::to_string(document.version));
+  if (hooks_.on_content) {
+    hooks_.on_content(documents_.back().content);
+  }
   const auto notice = peer::pack(commit_notice{document.version});
   for (const auto& [id, e] : entries_) {
     hooks_.send(id, message_kind::commit_notice, notice);
@@ -172,6 +191,7 @@
 }
 
 void control_core::on_ask(std::string_view from, const entry_ask& ask, base::time_point now) {
+  take_document();
   auto it = entries_.find(from);
   if (it == entries_.end()) {
     it = entries_.emplace(std::string(from), known_entry{}).first;
@@ -204,6 +224,7 @@
 }
 
 void control_core::on_fetch(std::string_view from, const document_fetch& fetch) {
+  take_document();
   if (documents_.empty()) {
     return;
   }
@@ -431,6 +452,7 @@
 }
 
 void control_core::tick(base::time_point now) {
+  take_document();
   check_shares(now);
   if (now >= flush_at_) {
     flush_at_ = now + flush_interval;
--- a/src/fleet/server_table.cpp
+++ b/src/fleet/server_table.cpp
@@ -11,7 +11,7 @@
 bool says_the_same(const server_record& a, const server_record& b) {
   return a.service == b.service && a.address == b.address && a.data_centre == b.data_centre &&
          a.slots == b.slots && a.state == b.state && a.born_ms == b.born_ms && a.home == b.home &&
-         a.is_silent == b.is_silent;
+         a.is_silent == b.is_silent && a.is_restored == b.is_restored;
 }
 
 } // namespace
@@ -69,7 +69,7 @@
   auto& held = it->second.record;
   const bool is_former = record.born_ms < held.born_ms;
   const bool is_same = record.born_ms == held.born_ms;
-  if (is_former || (is_same && held.state == server_state::gone)) {
+  if (is_former || (is_same && (held.state == server_state::gone || record.is_restored))) {
     return merge_result::stale;
   }
   if (is_same) {
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/thread_pool.hpp>
 #include <nlohmann/json.hpp>
 
 #include "kingcupshunt/config/snapshot.h"
@@ -25,6 +26,11 @@
 constexpr base::milliseconds election_timeout{700};
 constexpr base::milliseconds heartbeat_interval{150};
 constexpr base::milliseconds storage_bound{1500};
+/// Of a process that has just started: nobody is deposed by it, since those who hear a leader do
+/// not vote.
+constexpr base::milliseconds first_election_timeout{150};
+constexpr const char* servers_name = "servers";
+constexpr base::seconds servers_write_interval{1};
 
 } // namespace
 
@@ -38,6 +44,9 @@
   fleet::document_log_hooks log_hooks();
   void on_message(std::string_view from, message_kind kind, const std::string& body);
   void on_document(const fleet::versioned_document& document);
+  void on_content(const nlohmann::json& content);
+  void restore_servers();
+  void write_servers(base::time_point now);
   void on_tick(base::time_point now);
   void on_written(std::uint64_t sequence, const std::optional<storage::error>& failure);
   void follow_voters(base::time_point now);
@@ -56,6 +65,11 @@
   std::vector<std::string> known_controls;
   std::uint64_t view_index = 0;
   bool has_view = false;
+  std::shared_ptr<storage::file_system> files = storage::make_system_files();
+  std::uint64_t written_position = 0;
+  base::time_point write_at{};
+  bool is_writing = false;
+  boost::asio::thread_pool writer{1}; ///< last: its thread ends before the rest does
 };
 
 role_hooks control_node::impl::role_hooks_for() {
@@ -101,6 +115,7 @@
     runtime.send(to, kind, std::move(body));
   };
   core_hooks.parse = hooks.parse;
+  core_hooks.on_content = [this](const nlohmann::json& content) { on_content(content); };
   core_hooks.is_connected = [this](std::string_view id) {
     return runtime.transport->is_connected(id);
   };
@@ -126,6 +141,7 @@
   owner_hooks.is_fresh = [this] { return core->is_in_touch(base::clock::now()); };
   rate_owner = std::make_unique<rates::owner>(std::move(owner_settings), std::move(owner_hooks));
   open_log(std::move(store.value()));
+  restore_servers();
   return base::success();
 }
 
@@ -152,6 +168,7 @@
   replica.self = {s.id, store->store_id()};
   replica.seed = runtime.seed;
   replica.election_timeout = election_timeout;
+  replica.first_election_timeout = first_election_timeout;
   replica.heartbeat_interval = heartbeat_interval;
   replica.storage_bound = storage_bound;
   // Only the seeds of the very first start found the log; every other instance joins it.
@@ -189,11 +206,47 @@
 
 void control_node::impl::on_document(const fleet::versioned_document& document) {
   core->on_document(document);
-  const auto parsed = hooks.parse(document.text);
+}
+
+void control_node::impl::on_content(const nlohmann::json& content) {
   config::snapshot next;
-  if (parsed && next.apply(parsed.value())) {
-    configuration = std::move(next);
+  if (auto applied = next.apply(content); !applied) {
+    observe::log_error("document_unreadable", {{"error", config::describe(applied.error())}});
+    return;
+  }
+  configuration = std::move(next);
+}
+
+void control_node::impl::restore_servers() {
+  const auto text = files->read(runtime.settings.data_folder + "/" + servers_name);
+  const auto held = text ? peer::unpack<fleet::record_share>(text.value()) : std::nullopt;
+  if (held) {
+    core->restore(held->records, base::clock::now());
   }
+  written_position = core->servers().position();
+}
+
+/// The table shortens the recovery after a loss of power of all instances: callers are served before
+/// every server has announced itself again. It is written beside the event loop.
+void control_node::impl::write_servers(base::time_point now) {
+  const auto position = core->servers().position();
+  if (is_writing || now < write_at || position == written_position) {
+    return;
+  }
+  is_writing = true;
+  written_position = position;
+  write_at = now + servers_write_interval;
+  boost::asio::post(writer, [this, text = peer::pack(fleet::record_share{0, core->records()})] {
+    const auto written =
+        storage::write_whole(*files, runtime.settings.data_folder, servers_name, text);
+    boost::asio::post(runtime.io, [this, failure = written ? std::string()
+                                                          : storage::describe(written.error())] {
+      is_writing = false;
+      if (!failure.empty()) {
+        observe::log_warning("servers_not_written", {{"error", failure}});
+      }
+    });
+  });
 }
 
 void control_node::impl::on_message(std::string_view from, message_kind kind,
@@ -243,6 +296,7 @@
   core->tick(now);
   follow_voters(now);
   rate_owner->tick(now);
+  write_servers(now);
 }
 
 void control_node::impl::stop() {
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -18,13 +18,15 @@
 
 constexpr base::seconds full_report_interval{1}; // relays forget an entry after 2.5 s
 /// Share of the workspace's burst that an instance may use on its own, at least.
-constexpr double least_local_burst = 1.5;
+constexpr double least_local_burst = 3;
 /// A lookup that waits this many usual times is sent a second time.
 constexpr double hedge_factor = 2.5;
 constexpr base::milliseconds least_hedge{150};
 constexpr base::milliseconds lease_retry_after{500};   // until the next answers of the controls
 constexpr base::milliseconds crowded_retry_after{400}; // about two usual request times
 constexpr base::seconds suspect_retry_after{30};
+constexpr double log_rate = 40;   // lines about requests each second
+constexpr double log_burst = 200; // lines at once
 
 refusal not_run(unsigned status, std::string reason, std::string message,
                 std::optional<base::milliseconds> retry_after = std::nullopt) {
@@ -71,21 +73,14 @@
 
 proxy::hooks entry_traffic::make_hooks() {
   proxy::hooks out;
-  out.authorize = [this](const proxy::request_head& head) {
-    auto decided = authorize(head);
-    if (!decided) {
-      note_request(head, decided.error());
-    }
-    return decided;
-  };
-  out.admit = [this](const proxy::request_head& head, const proxy::authorized_request& request,
+  out.authorize = [this](const proxy::request_head& head) { return authorize(head); };
+  out.admit = [this](const proxy::request_head&, const proxy::authorized_request& request,
                      std::function<void(proxy::decided<void>)> done) {
-    admit(request, [this, head, done = std::move(done)](proxy::decided<void> result) {
-      if (!result) {
-        note_request(head, result.error());
-      }
-      done(std::move(result));
-    });
+    admit(request, std::move(done));
+  };
+  out.on_refusal = [this](const proxy::request_head& head, const refusal& r,
+                          const std::vector<std::string>& tried) {
+    note_refusal(head, r, tried);
   };
   out.finish = [](const proxy::authorized_request&) {};
   out.pick = [this](const proxy::authorized_request& request, std::uint64_t fingerprint,
@@ -102,7 +97,7 @@
     return hedge_delay(request);
   };
   out.take_hedge = [this](const proxy::authorized_request& request) {
-    return board_.free_slots(request.service->name) > 0 &&
+    return board_.free_slots(request.service->name, base::clock::now()) > 0 &&
            retries_.withdraw(request.service->name, base::clock::now());
   };
   return out;
@@ -186,7 +181,7 @@
   const double burst = std::max(workspace.burst / n, least_local_burst);
   auto it = local_.find(workspace.name);
   if (it == local_.end()) {
-    it = local_.emplace(workspace.name, local_bucket{burst / 2, now}).first;
+    it = local_.emplace(workspace.name, local_bucket{burst, now}).first;
   }
   auto& b = it->second;
   b.tokens = std::min(burst, b.tokens + workspace.rate / n * base::to_seconds(now - b.at));
@@ -227,11 +222,12 @@
       });
 }
 
-admission::gate_room entry_traffic::room_of(const std::string& service) const {
+admission::gate_room entry_traffic::room_of(const std::string& service,
+                                            base::time_point now) const {
   admission::gate_room out;
-  out.free_slots = board_.free_slots(service);
+  out.free_slots = board_.free_slots(service, now);
   if (const auto usual = board_.usual_time(service)) {
-    out.starts_per_second = board_.slots(service) / base::to_seconds(*usual) / link_.entry_count();
+    out.starts_per_second = board_.slots(service, now) / base::to_seconds(*usual) / link_.entry_count();
   }
   return out;
 }
@@ -244,7 +240,7 @@
   asked.rank = request.workspace && request.workspace->rank ? *request.workspace->rank
                                                             : request.route->rank;
   asked.latest_start = request.deadline - board_.usual_time(service).value_or(base::duration{});
-  gates_[service].enter(asked, room_of(service), now,
+  gates_[service].enter(asked, room_of(service, now), now,
                         [done = std::move(done)](admission::gate_result refused) {
                           if (!refused) {
                             done(base::success());
@@ -259,11 +255,11 @@
   const auto it = gates_.find(service);
   // Each request that passes takes its slot before the next look.
   while (it != gates_.end() && it->second.waiting() > 0) {
-    auto room = room_of(service);
+    auto room = room_of(service, now);
     const auto before = it->second.waiting();
     room.free_slots = std::min<std::uint32_t>(room.free_slots, 1);
     if (it->second.dispatch(room, now) == 0 || it->second.waiting() >= before ||
-        board_.free_slots(service) == 0) {
+        board_.free_slots(service, now) == 0) {
       break;
     }
   }
@@ -430,9 +426,38 @@
   crashes_.forget(now);
 }
 
-void entry_traffic::note_request(const proxy::request_head& head, const refusal& r) {
+/// Refusals come in floods when something is wrong; the metrics count all of them.
+bool entry_traffic::may_log(base::time_point now) {
+  log_tokens_ = std::min(log_burst, log_tokens_ + log_rate * base::to_seconds(now - log_at_));
+  log_at_ = now;
+  if (log_tokens_ < 1) {
+    ++log_dropped_;
+    return false;
+  }
+  log_tokens_ -= 1;
+  if (log_dropped_ > 0) {
+    observe::log_warning("log_lines_dropped", {{"count", std::exchange(log_dropped_, 0)}});
+  }
+  return true;
+}
+
+void entry_traffic::note_refusal(const proxy::request_head& head, const refusal& r,
+                                 const std::vector<std::string>& tried) {
+  const auto now = base::clock::now();
+  if (!may_log(now)) {
+    return;
+  }
+  std::string servers;
+  for (const auto& id : tried) {
+    servers += (servers.empty() ? "" : ",") + id;
+  }
   observe::log_info("request_refused",
                     {{"request_id", head.request_id},
+                     {"host", head.host},
+                     {"path", head.path},
+                     {"tried", servers},
+                     {"held_ms", base::to_ms(now - head.arrived)},
+                     {"ran", proxy::to_string(r.ran)},
                      {"status", r.status},
                      {"reason", r.reason},
                      {"version", link_.version()},
--- a/src/node/entry_traffic.h
+++ b/src/node/entry_traffic.h
@@ -60,10 +60,12 @@
   void report(const proxy::authorized_request& request, const health::attempt& a);
   bool may_retry(const proxy::authorized_request& request, const health::attempt& last);
   std::optional<base::duration> hedge_delay(const proxy::authorized_request& request) const;
-  admission::gate_room room_of(const std::string& service) const;
+  admission::gate_room room_of(const std::string& service, base::time_point now) const;
   void dispatch(const std::string& service, base::time_point now);
   void send_report(base::time_point now);
-  void note_request(const proxy::request_head& head, const proxy::refusal& r);
+  void note_refusal(const proxy::request_head& head, const proxy::refusal& r,
+                    const std::vector<std::string>& tried);
+  bool may_log(base::time_point now);
 
   role_runtime& runtime_;
   fleet::entry_link& link_;
@@ -77,6 +79,9 @@
   std::string relay_;
   base::time_point full_report_at_{};
   std::uint64_t serial_ = 0;
+  double log_tokens_ = 0;
+  base::time_point log_at_{};
+  std::uint64_t log_dropped_ = 0;
   std::uint64_t view_index_ = 0;
   base::rng rng_;
 };
--- a/src/proxy/request_answer.cpp
+++ b/src/proxy/request_answer.cpp
@@ -74,6 +74,9 @@
     r = as_promise(std::move(r));
   }
   context_.metrics.count_refusal(r.reason);
+  if (context_.hook.on_refusal) {
+    context_.hook.on_refusal(head_, r, tried_);
+  }
   // Framing that was not understood leaves no trust in where the next request begins.
   const bool is_framing_unsure = r.status == 400 || r.status == 501 || r.status == 505;
   caller_->is_closing = is_framing_unsure || must_close();
--- a/src/proxy/request_run.h
+++ b/src/proxy/request_run.h
@@ -53,7 +53,7 @@
   // request_tries.cpp: tries, retries, hedging.
   awaitable<exchange_ptr> find_answer();
   bool was_sent() const;
-  unsigned tries_allowed() const;
+  bool has_tries_left() const;
   bool start_try();
   awaitable<bool> start_first_try();
   awaitable<bool> start_retry();
@@ -118,6 +118,7 @@
   std::shared_ptr<settling> unsettled_ = std::make_shared<settling>();
   std::optional<base::time_point> hedge_at_;
   unsigned tries_ = 0;
+  unsigned unreached_tries_ = 0; ///< of the tries, those that certainly did not run
   bool may_have_run_ = false;
   bool has_checked_ = false;
 
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -118,30 +118,31 @@
          });
 }
 
-unsigned request_run::tries_allowed() const {
+/// A route's bound counts the servers that may have run the request.
+bool request_run::has_tries_left() const {
   const auto of_route = auth_.route->max_tries;
-  return of_route == 0 ? context_.settings.max_tries
-                       : std::min(context_.settings.max_tries, of_route);
+  return tries_ < context_.settings.max_tries &&
+         (of_route == 0 || tries_ - unreached_tries_ < of_route);
 }
 
 bool request_run::start_try() {
-  for (; tries_ < tries_allowed(); ++tries_) {
-    auto picked = context_.hook.pick(auth_, fingerprint_, tried_);
-    if (!picked) {
-      if (!failure_) {
-        failure_ = picked.error();
-      }
-      return false;
+  if (!has_tries_left()) {
+    return false;
+  }
+  auto picked = context_.hook.pick(auth_, fingerprint_, tried_);
+  if (!picked) {
+    if (!failure_) {
+      failure_ = picked.error();
     }
-    ++tries_;
-    const auto need = out_->is_resendable ? connection_need::any : connection_need::verified;
-    tried_.push_back(picked.value().id);
-    auto ex = std::make_shared<exchange>(context_, std::move(picked.value()), out_, need, wake_);
-    ex->start();
-    live_.push_back({std::move(ex), nullptr});
-    return true;
+    return false;
   }
-  return false;
+  ++tries_;
+  const auto need = out_->is_resendable ? connection_need::any : connection_need::verified;
+  tried_.push_back(picked.value().id);
+  auto ex = std::make_shared<exchange>(context_, std::move(picked.value()), out_, need, wake_);
+  ex->start();
+  live_.push_back({std::move(ex), nullptr});
+  return true;
 }
 
 /// Another try after the last failed one, when the request can be sent again and the budget
@@ -160,7 +161,7 @@
   const bool is_allowed =
       out_->is_resendable || (was_not_sent && !may_have_run_ && body_bytes_ == 0);
   if (!is_allowed || base::clock::now() >= auth_.deadline ||
-      tries_ >= tries_allowed() || caller_->is_gone) {
+      !has_tries_left() || caller_->is_gone) {
     co_return false;
   }
   if (!context_.hook.may_retry || !context_.hook.may_retry(auth_, last)) {
@@ -182,7 +183,8 @@
     co_return false;
   }
   if (context_.settings.names.is_shed_budgeted) {
-    const bool is_allowed = tries_ < tries_allowed() && context_.hook.may_retry &&
+    const bool is_allowed = has_tries_left() && base::clock::now() < auth_.deadline &&
+                            !caller_->is_gone && context_.hook.may_retry &&
                             context_.hook.may_retry(auth_, last);
     if (!is_allowed || !start_try()) {
       co_return false;
@@ -309,7 +311,15 @@
     body_failure_ = refusal_of_body(body_state::timed_out);
   }
   report(*ended);
-  if (ended->has_answer()) {
+  const bool is_unreached =
+      ended->end() == attempt_end::shed || (!ended->was_sent() && !ended->had_no_connection());
+  unreached_tries_ += is_unreached ? 1 : 0;
+  const bool is_promised =
+      ended->end() == attempt_end::shed && context_.settings.names.is_status_a_promise;
+  if (is_promised) {
+    // The entry says itself that the request has not run, and when to come back.
+    failure_ = failed(503, "servers_refused", "the servers asked had no room", may_have_run_);
+  } else if (ended->has_answer()) {
     fallback_ = ended;
   } else if (ended->had_no_connection()) {
     failure_ = failed(503, "upstream_connections_exhausted",
