Prefer servers of the own data centre; give up unanswered connections between instances sooner

Change: a server elsewhere costs as much as 0.4 of its slots; connections between instances are given up after 400 ms and tried again after 200 ms at most.

--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -31,7 +31,7 @@
   /// What a certain failure costs, in units of one request per slot.
   double repeatable_risk = 3.0;
   double unrepeatable_risk = 8.0;
-  double far_cost = 0.08;      ///< of a server in another data centre
+  double far_cost = 0.4;       ///< of a server in another data centre
   double cold_factor = 2.0;    ///< time of a request at a server that has just started
   double silent_risk = 0.15;   ///< chance of failure of a server that no longer announces itself
 
--- a/src/node/role_runtime.cpp
+++ b/src/node/role_runtime.cpp
@@ -25,8 +25,8 @@
   out.fleet = s.fleet;
   out.secret = s.fleet_secret;
   out.listen_address = s.peer.to_string();
-  out.limits.greatest_backoff = base::milliseconds(500); // a healed cut is to be used soon
-  out.limits.connect_timeout = base::milliseconds(1000);
+  out.limits.greatest_backoff = base::milliseconds(200); // a healed cut is to be used soon
+  out.limits.connect_timeout = base::milliseconds(400);  // an instance without power answers nothing
   out.limits.silence = base::milliseconds(1500);
   out.seed = random_number();
   return out;
