Keep requests that may not be repeated away from servers with a record of resets

Change: resets are remembered for 30 s as a share of a server's outcomes and add to its cost for such requests; those that may be repeated meet the spells first.

--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -22,6 +22,8 @@
   std::uint64_t seed = 1;
 
   base::duration memory = base::milliseconds(2000); ///< time constant of outcomes
+  base::duration history = base::seconds(30);  ///< time constant of the long record
+  double history_prior = 8; ///< successes that a server without a record counts as having had
   double reset_weight = 1.0;   ///< of a connection refused or ended without a whole answer
   double error_weight = 0.45;  ///< of an error answer; healthy servers give some as well
   double late_weight = 0.8;    ///< of a request without answer for several times the usual
@@ -119,6 +121,7 @@
     std::uint32_t others = 0;
     std::uint32_t reported = 0; ///< own in flight as last reported
     outcome_count outcomes;
+    outcome_count history; ///< resets against successes, over many spells
     double mean_seconds = 0; ///< of whole answers, 0: none yet
     base::time_point answered_at{};
   };
@@ -127,8 +130,8 @@
     double mean_seconds = 0;
   };
 
-  void decay(outcome_count& c, base::time_point now) const;
-  void add_failure(server& s, double weight, base::time_point now);
+  static void decay(outcome_count& c, base::duration memory, base::time_point now);
+  void add_failure(server& s, fleet::failure_kind kind, double share, base::time_point now) const;
   double failure_chance(const server& s, base::time_point now) const;
   double slowness(const server& s, const service_state& of, base::time_point now) const;
   double cost(const server& s, const service_state& of, bool is_repeatable,
--- a/src/balance/server_board.cpp
+++ b/src/balance/server_board.cpp
@@ -51,6 +51,7 @@
   s.usable_until = record.is_restored ? now + settings_.restored_use : base::time_point::max();
   if (is_new) {
     s.outcomes = {};
+    s.history = {};
     s.mean_seconds = 0;
     s.cold_until = now + base::milliseconds(record.cold_left_ms);
   }
@@ -73,25 +74,29 @@
   return static_cast<std::uint32_t>(s.own.size()) + s.others;
 }
 
-void server_board::decay(outcome_count& c, base::time_point now) const {
+void server_board::decay(outcome_count& c, base::duration memory, base::time_point now) {
   if (now <= c.at) {
     return;
   }
-  const double factor =
-      std::exp(-base::to_seconds(now - c.at) / base::to_seconds(settings_.memory));
+  const double factor = std::exp(-base::to_seconds(now - c.at) / base::to_seconds(memory));
   c.failures *= factor;
   c.successes *= factor;
   c.at = now;
 }
 
-void server_board::add_failure(server& s, double weight, base::time_point now) {
-  decay(s.outcomes, now);
-  s.outcomes.failures += weight;
+void server_board::add_failure(server& s, fleet::failure_kind kind, double share,
+                               base::time_point now) const {
+  decay(s.outcomes, settings_.memory, now);
+  s.outcomes.failures += share * weight_of(kind);
+  if (kind == fleet::failure_kind::reset) {
+    decay(s.history, settings_.history, now);
+    s.history.failures += share;
+  }
 }
 
 double server_board::failure_chance(const server& s, base::time_point now) const {
   auto c = s.outcomes;
-  decay(c, now);
+  decay(c, settings_.memory, now);
   const double chance = c.failures / (c.failures + c.successes + settings_.prior);
   return s.record.is_silent ? std::max(chance, settings_.silent_risk / (1 + c.successes)) : chance;
 }
@@ -113,9 +118,17 @@
                           base::time_point now) const {
   const double load = (in_flight(s) + 1.0) / std::max<std::uint32_t>(s.record.slots, 1);
   const double risk = is_repeatable ? settings_.repeatable_risk : settings_.unrepeatable_risk;
+  // Some servers have short spells again and again. The first to meet one should be a request that
+  // may be repeated.
+  double spells = 0;
+  if (!is_repeatable) {
+    auto h = s.history;
+    decay(h, settings_.history, now);
+    spells = h.failures / (h.failures + h.successes + settings_.history_prior);
+  }
   const double distance =
       s.record.data_centre == settings_.data_centre ? 0 : settings_.far_cost;
-  return load * slowness(s, of, now) + risk * failure_chance(s, now) + distance;
+  return load * slowness(s, of, now) + risk * (failure_chance(s, now) + spells) + distance;
 }
 
 base::result<fleet::server_record, board_error>
@@ -169,7 +182,7 @@
 
 void server_board::note_failure(server& s, fleet::failure_kind kind, std::uint64_t fingerprint,
                                 base::time_point now) {
-  add_failure(s, weight_of(kind), now);
+  add_failure(s, kind, 1, now);
   failures_.push_back({s.record.id, kind, fingerprint});
 }
 
@@ -212,7 +225,9 @@
   if (a.end != attempt_end::ok) {
     return;
   }
-  decay(s.outcomes, now);
+  decay(s.history, settings_.history, now);
+  s.history.successes += 1;
+  decay(s.outcomes, settings_.memory, now);
   s.outcomes.successes += 1;
   s.outcomes.failures *= 0.5; // a success now says more than a failure before
   const double seconds = base::to_seconds(a.total);
@@ -270,7 +285,7 @@
   for (const auto& note : total.failures) {
     const auto it = servers_.find(note.server);
     if (it != servers_.end()) {
-      add_failure(it->second, settings_.remote_weight * weight_of(note.kind), now);
+      add_failure(it->second, note.kind, settings_.remote_weight, now);
     }
   }
 }
