Relay load within a data centre in large fleets and break ties of choices at random

Change: more than 24 entries have a relay in each data centre; one sum for all; failures go with the sums there; voters are told when they changed; a random part of 0.25 of a cost; greater weight of risk for requests that may not be repeated. Tests are written, not run yet.

--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -32,8 +32,11 @@
 
   /// What a certain failure costs, in units of one request per slot.
   double repeatable_risk = 3.0;
-  double unrepeatable_risk = 8.0;
+  double unrepeatable_risk = 16.0;
   double far_cost = 0.4;       ///< of a server in another data centre
+  /// Random part of a cost. Instances that hold the same reports would otherwise all choose the
+  /// same server until the next ones.
+  double jitter = 0.25;
   double cold_factor = 2.0;    ///< time of a request at a server that has just started
   double silent_risk = 0.15;   ///< chance of failure of a server that no longer announces itself
 
@@ -95,8 +98,8 @@
   /// What changed here since the last call, for the others.
   fleet::load_report take_report();
   bool has_failures() const noexcept { return !failures_.empty(); }
-  /// Everything in flight, for a relay that knows nothing yet.
-  fleet::load_report full_report() const;
+  /// Everything in flight, for a relay that knows nothing yet. Counts as reported.
+  fleet::load_report full_report();
 
   /// Looks for late requests.
   void tick(base::time_point now);
--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -23,6 +23,7 @@
 struct control_settings {
   std::string self; ///< id of this instance, by which the others reach it
   std::string store;
+  std::string data_centre;
   std::uint64_t start = 1; ///< random number of this process, not 0
   base::duration beat_interval = base::milliseconds(1500); ///< of announcements
   base::duration share_timeout = base::milliseconds(900);  ///< for a majority's acknowledgement
@@ -113,7 +114,7 @@
     std::map<std::string, std::map<std::string, std::uint32_t, std::less<>>, std::less<>>
         by_server; ///< server to entry to requests in flight
     std::set<std::string, std::less<>> changed;
-    std::map<std::string, std::vector<failure_note>, std::less<>> failures; ///< by reporter
+    std::vector<failure_note> failures;
     std::map<std::string, base::time_point, std::less<>> heard; ///< last report of each entry
   };
 
@@ -152,6 +153,7 @@
   base::time_point in_touch_at_{};
   base::time_point join_at_{};
   base::time_point flush_at_{};
+  base::time_point push_at_{};
   base::time_point slow_tick_at_{};
   std::uint64_t malformed_ = 0;
 };
--- a/include/kingcupshunt/fleet/entry_link.h
+++ b/include/kingcupshunt/fleet/entry_link.h
@@ -62,7 +62,8 @@
   std::set<std::string, std::less<>> controls() const;
   /// Entry instances that the control instances know, this one included.
   std::uint32_t entry_count() const noexcept { return entry_count_; }
-  /// Control instance that all entry instances in contact with it choose for load; may be empty.
+  /// Control instance that this entry reports its load to, and the others like it; one of the same
+  /// data centre when there are more than few_entries. May be empty.
   std::string relay(base::time_point now) const;
   std::uint64_t malformed_messages() const noexcept { return malformed_; }
 
@@ -71,6 +72,7 @@
     std::uint64_t table_start = 0;
     std::uint64_t table_position = 0;
     base::time_point heard_at{};
+    std::string data_centre;
     std::map<std::uint64_t, base::boot_clock::time_point> asked; ///< sequence to sending time
   };
 
--- a/include/kingcupshunt/fleet/messages.h
+++ b/include/kingcupshunt/fleet/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -10,6 +11,11 @@
 
 namespace kingcupshunt::fleet {
 
+/// Up to so many entry instances share one relay for load, which tells them each failure at once.
+/// More have one in each data centre, so that its work and the bytes between data centres stay
+/// bounded.
+inline constexpr std::size_t few_entries = 24;
+
 /// Question of an entry instance to a control instance, and its sign of life (entry_ask).
 struct entry_ask {
   std::uint64_t sequence = 0; ///< rises with each question of one process
@@ -20,11 +26,13 @@
   std::uint64_t applied = 0;        ///< log index whose document is in force here
   std::uint64_t table_start = 0;    ///< start of the control instance that `table_position` is of
   std::uint64_t table_position = 0; ///< of its server table, as taken over here
+  std::uint64_t voters_index = 0;   ///< log index that set the voters known here
 
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("q", sequence), MSGPACK_NVP("e", entry_address),
                      MSGPACK_NVP("z", data_centre), MSGPACK_NVP("r", is_ready),
                      MSGPACK_NVP("l", is_leaving), MSGPACK_NVP("a", applied),
-                     MSGPACK_NVP("ts", table_start), MSGPACK_NVP("tp", table_position))
+                     MSGPACK_NVP("ts", table_start), MSGPACK_NVP("tp", table_position),
+                     MSGPACK_NVP("vi", voters_index))
 };
 
 /// Changes of one control instance's server table (in entry_answer, or alone as table_push).
@@ -45,14 +53,16 @@
   std::uint64_t held = 0;     ///< last log index that it holds, committed or not
   std::uint64_t applied = 0;  ///< last log index that it has applied
   std::uint64_t document = 0; ///< version of the document after `applied`
-  std::vector<std::string> voters;
+  std::vector<std::string> voters; ///< empty: as the asking instance knows them
+  std::string data_centre;         ///< of the sender
   std::uint64_t voters_index = 0; ///< log index that set the voters
   std::uint32_t entries = 1;      ///< entry instances heard lately
   table_part table;
 
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("q", sequence), MSGPACK_NVP("v", is_voter), MSGPACK_NVP("h", held),
                      MSGPACK_NVP("a", applied), MSGPACK_NVP("d", document),
-                     MSGPACK_NVP("vs", voters), MSGPACK_NVP("vi", voters_index),
+                     MSGPACK_NVP("vs", voters), MSGPACK_NVP("z", data_centre),
+                     MSGPACK_NVP("vi", voters_index),
                      MSGPACK_NVP("n", entries), MSGPACK_NVP("t", table))
 };
 
@@ -114,8 +124,9 @@
   std::string server;
   failure_kind kind = failure_kind::reset;
   std::uint64_t fingerprint = 0; ///< of the request, 0: not known
+  std::string reporter;          ///< set by the relay, so that nobody counts its own twice
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("s", server), MSGPACK_NVP("k", kind),
-                     MSGPACK_NVP("f", fingerprint))
+                     MSGPACK_NVP("f", fingerprint), MSGPACK_NVP("r", reporter))
 };
 
 struct server_load {
@@ -125,11 +136,14 @@
 };
 
 /// An entry instance's requests in flight that changed, and failures since its last report
-/// (load_pulse); or the sums over all entry instances, as a relay passes them on (load_total).
+/// (load_pulse); or the sums over the entry instances of a relay, which passes them on to all of
+/// these (load_total).
 struct load_report {
+  bool is_full = false; ///< servers that are not listed have nothing in flight
   std::vector<server_load> loads;
   std::vector<failure_note> failures;
-  MSGPACK_DEFINE_MAP(MSGPACK_NVP("l", loads), MSGPACK_NVP("f", failures))
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", is_full), MSGPACK_NVP("l", loads),
+                     MSGPACK_NVP("f", failures))
 };
 
 } // namespace kingcupshunt::fleet
--- a/src/balance/server_board.cpp
+++ b/src/balance/server_board.cpp
@@ -17,7 +17,6 @@
 constexpr base::seconds speed_memory{6};
 constexpr std::uint32_t wrong_instance_status = 421;
 constexpr double service_gain = 0.02; ///< weight of a new answer in the mean time of a service
-constexpr double tie_width = 0.05;    ///< costs this close are chosen from at random
 
 std::optional<fleet::failure_kind> kind_of(attempt_end end) noexcept {
   switch (end) {
@@ -140,7 +139,6 @@
   }
   server* best = nullptr;
   double best_cost = 0;
-  std::uint64_t ties = 0;
   bool is_busy = false;
   for (const auto& id : of->second.servers) {
     auto& s = servers_.find(id)->second;
@@ -151,14 +149,11 @@
       is_busy = true;
       continue;
     }
-    const double c = cost(s, of->second, is_repeatable, now);
-    if (best == nullptr || c < best_cost - tie_width) {
+    const double c =
+        cost(s, of->second, is_repeatable, now) + settings_.jitter * rng_.unit();
+    if (best == nullptr || c < best_cost) {
       best = &s;
       best_cost = c;
-      ties = 1;
-    } else if (c < best_cost + tie_width && rng_.below(++ties) == 0) {
-      best = &s;
-      best_cost = std::min(best_cost, c);
     }
   }
   if (best == nullptr) {
@@ -183,7 +178,7 @@
 void server_board::note_failure(server& s, fleet::failure_kind kind, std::uint64_t fingerprint,
                                 base::time_point now) {
   add_failure(s, kind, 1, now);
-  failures_.push_back({s.record.id, kind, fingerprint});
+  failures_.push_back({s.record.id, kind, fingerprint, {}});
 }
 
 void server_board::end(std::string_view id, std::uint64_t request, const health::attempt& a,
@@ -279,7 +274,8 @@
   for (const auto& load : total.loads) {
     const auto it = servers_.find(load.server);
     if (it != servers_.end()) {
-      it->second.others = load.in_flight;
+      // The sum contains what was last reported from here.
+      it->second.others = load.in_flight - std::min(load.in_flight, it->second.reported);
     }
   }
   for (const auto& note : total.failures) {
@@ -309,10 +305,13 @@
   return out;
 }
 
-fleet::load_report server_board::full_report() const {
+fleet::load_report server_board::full_report() {
   fleet::load_report out;
-  for (const auto& [id, s] : servers_) {
-    out.loads.push_back({id, static_cast<std::uint32_t>(s.own.size())});
+  for (auto& [id, s] : servers_) {
+    s.reported = static_cast<std::uint32_t>(s.own.size());
+    if (s.reported > 0) {
+      out.loads.push_back({id, s.reported});
+    }
   }
   return out;
 }
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -205,10 +205,13 @@
   answer.held = replica.last_index();
   answer.applied = replica.applied_index();
   answer.document = documents_.empty() ? 0 : documents_.back().version;
-  for (const auto& v : replica.voters().voters) {
-    answer.voters.push_back(v.id);
-  }
+  answer.data_centre = settings_.data_centre;
   answer.voters_index = replica.voters_index();
+  if (ask.voters_index != answer.voters_index) {
+    for (const auto& v : replica.voters().voters) {
+      answer.voters.push_back(v.id);
+    }
+  }
   answer.entries = static_cast<std::uint32_t>(count_entries(now));
   answer.table.start = settings_.start;
   answer.table.from = ask.table_start == settings_.start ? ask.table_position : 0;
@@ -389,6 +392,9 @@
 void control_core::on_pulse(std::string_view from, const load_report& report,
                             base::time_point now) {
   loads_.heard.insert_or_assign(std::string(from), now);
+  if (report.is_full) {
+    forget_load(from);
+  }
   for (const auto& load : report.loads) {
     auto& entries = loads_.by_server[load.server];
     if (load.in_flight == 0) {
@@ -398,46 +404,37 @@
     }
     loads_.changed.insert(load.server);
   }
-  auto& failures = loads_.failures[std::string(from)];
-  failures.insert(failures.end(), report.failures.begin(), report.failures.end());
-  if (failures.empty()) {
-    loads_.failures.erase(std::string(from));
-  } else {
-    flush_loads(); // a failing server is to be avoided at once
+  for (const auto& note : report.failures) {
+    loads_.failures.push_back(note);
+    loads_.failures.back().reporter = from;
   }
 }
 
-/// Each entry gets the sums without its own part.
+/// One message for all entries that report here: each knows its own part of the sums.
 void control_core::flush_loads() {
   if (loads_.changed.empty() && loads_.failures.empty()) {
     return;
   }
-  for (const auto& [id, e] : entries_) {
-    load_report out;
-    for (const auto& server : loads_.changed) {
-      std::uint32_t n = 0;
-      for (const auto& [entry, in_flight] : loads_.by_server[server]) {
-        n += entry == id ? 0 : in_flight;
-      }
-      out.loads.push_back({server, n});
-    }
-    for (const auto& [reporter, notes] : loads_.failures) {
-      if (reporter != id) {
-        out.failures.insert(out.failures.end(), notes.begin(), notes.end());
-      }
-    }
-    if (!out.loads.empty() || !out.failures.empty()) {
-      hooks_.send(id, message_kind::load_total, peer::pack(out));
-    }
-  }
+  load_report out;
   for (const auto& server : loads_.changed) {
     const auto it = loads_.by_server.find(server);
-    if (it != loads_.by_server.end() && it->second.empty()) {
-      loads_.by_server.erase(it);
+    std::uint32_t n = 0;
+    if (it != loads_.by_server.end()) {
+      for (const auto& [entry, in_flight] : it->second) {
+        n += in_flight;
+      }
+      if (it->second.empty()) {
+        loads_.by_server.erase(it);
+      }
     }
+    out.loads.push_back({server, n});
   }
+  out.failures = std::exchange(loads_.failures, {});
   loads_.changed.clear();
-  loads_.failures.clear();
+  const auto body = peer::pack(out);
+  for (const auto& [id, at] : loads_.heard) {
+    hooks_.send(id, message_kind::load_total, body);
+  }
 }
 
 /// An entry instance that reports elsewhere by now, or not at all.
@@ -454,9 +451,13 @@
 void control_core::tick(base::time_point now) {
   take_document();
   check_shares(now);
-  if (now >= flush_at_) {
+  // A failing server is to be avoided soon; load alone can wait for the next sum.
+  if (now >= flush_at_ || (!loads_.failures.empty() && loads_.heard.size() <= few_entries)) {
     flush_at_ = now + flush_interval;
     flush_loads();
+  }
+  if (now >= push_at_) {
+    push_at_ = now + flush_interval;
     push_changes();
   }
   if (now < slow_tick_at_) {
--- a/src/fleet/entry_link.cpp
+++ b/src/fleet/entry_link.cpp
@@ -41,11 +41,18 @@
 
 std::string entry_link::relay(base::time_point now) const {
   std::vector<std::string> heard;
+  std::vector<std::string> near;
   for (const auto& [id, c] : controls_) {
     if (c.heard_at != base::time_point{} && now - c.heard_at < settings_.relay_timeout) {
       heard.push_back(id);
+      if (c.data_centre == settings_.data_centre) {
+        near.push_back(id);
+      }
     }
   }
+  if (!near.empty() && entry_count_ > few_entries) {
+    heard = std::move(near);
+  }
   const auto at = base::rendezvous_pick("load", heard);
   return at < heard.size() ? heard[at] : std::string();
 }
@@ -72,6 +79,7 @@
   ask.is_ready = hooks_.is_ready();
   ask.is_leaving = hooks_.is_leaving();
   ask.applied = lease_.applied();
+  ask.voters_index = lease_.voters_index();
   const auto is_wanted = [&](const std::string& id, const control& c) {
     return std::ranges::find(seeds_, id) != seeds_.end() ||
            std::ranges::find(lease_.voters(), id) != lease_.voters().end() ||
@@ -143,6 +151,7 @@
   const auto sent = asked->second;
   c.asked.erase(c.asked.begin(), std::next(asked));
   c.heard_at = now;
+  c.data_centre = answer.data_centre;
   take_table(c, answer.table, now);
   const auto known = lease_.voters_index();
   lease_.set_voters(answer.voters, answer.voters_index);
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -108,6 +108,7 @@
   fleet::control_settings core_settings;
   core_settings.self = s.id;
   core_settings.store = store.value()->store_id();
+  core_settings.data_centre = s.data_centre;
   core_settings.start = runtime.seed;
   core_settings.beat_interval = s.bounds.beat_interval;
   fleet::control_hooks core_hooks;
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -377,7 +377,7 @@
     rates_.receive(from, kind, body, now);
     return;
   }
-  const auto total = peer::unpack<fleet::load_report>(body);
+  auto total = peer::unpack<fleet::load_report>(body);
   if (kind != message_kind::load_total || !total) {
     runtime_.metrics.count("malformed_messages_total");
     return;
@@ -385,6 +385,8 @@
   if (from != relay_) {
     return; // a former relay knows only a part
   }
+  std::erase_if(total->failures,
+                [&](const auto& note) { return note.reporter == runtime_.settings.id; });
   board_.take_total(*total, now);
   for (const auto& note : total->failures) {
     if (note.kind == fleet::failure_kind::reset) {
@@ -410,8 +412,9 @@
   if (now >= full_report_at_) {
     full_report_at_ = now + full_report_interval;
     report.loads = board_.full_report().loads;
+    report.is_full = true;
   }
-  if (!report.loads.empty() || !report.failures.empty()) {
+  if (report.is_full || !report.loads.empty() || !report.failures.empty()) {
     runtime_.send(relay_, message_kind::load_pulse, peer::pack(report));
   }
 }
--- /dev/null
+++ b/tests/admission/service_gate_test.cpp
@@ -0,0 +1,87 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "kingcupshunt/admission/crash_marks.h"
+#include "kingcupshunt/admission/service_gate.h"
+
+using namespace kingcupshunt;
+using namespace kingcupshunt::admission;
+
+namespace {
+
+const base::time_point start{base::seconds(100)};
+
+struct gate_log {
+  std::vector<std::string> passed;
+  std::vector<std::string> refused;
+  gate_function note(const std::string& name) {
+    return [this, name](gate_result r) { (r ? refused : passed).push_back(name); };
+  }
+};
+
+gate_request request(std::uint32_t rank, int latest_ms) {
+  return {rank, start + base::milliseconds(latest_ms)};
+}
+
+} // namespace
+
+TEST_CASE("a burst beyond the slots: urgent requests first, hopeless ones refused at once") {
+  service_gate gate;
+  gate_log log;
+  const gate_room none{0, 10}; // ten starts a second
+  for (int i = 0; i < 4; ++i) {
+    gate.enter(request(2, 1000), none, start, log.note("low" + std::to_string(i)));
+  }
+  gate.enter(request(0, 1000), none, start, log.note("high"));
+  CHECK(gate.waiting() == 5);
+  // Its turn would come after 0.6 s, when it is too late.
+  gate.enter(request(2, 400), none, start, log.note("hopeless"));
+  CHECK(log.refused == std::vector<std::string>{"hopeless"});
+  CHECK(gate.dispatch({2, 10}, start + base::milliseconds(100)) == 2);
+  CHECK(log.passed == std::vector<std::string>{"high", "low0"});
+  (void)gate.dispatch({0, 10}, start + base::milliseconds(1100));
+  CHECK(log.refused.size() == 4);
+  CHECK(gate.waiting() == 0);
+}
+
+TEST_CASE("a full queue gives up its least urgent request for a more urgent one") {
+  service_gate gate(gate_settings{2});
+  gate_log log;
+  const gate_room none{0, 0};
+  gate.enter(request(2, 1000), none, start, log.note("a"));
+  gate.enter(request(2, 1000), none, start, log.note("b"));
+  gate.enter(request(2, 1000), none, start, log.note("c"));
+  CHECK(log.refused == std::vector<std::string>{"c"});
+  gate.enter(request(1, 1000), none, start, log.note("d"));
+  CHECK(log.refused == std::vector<std::string>{"c", "b"});
+}
+
+TEST_CASE("with free slots a request passes at once, unless others wait for them") {
+  service_gate gate;
+  gate_log log;
+  gate.enter(request(1, 1000), {1, 10}, start, log.note("a"));
+  CHECK(log.passed.size() == 1);
+  gate.enter(request(1, 1000), {0, 10}, start, log.note("b"));
+  gate.enter(request(1, 1000), {1, 10}, start, log.note("c"));
+  CHECK(log.passed.size() == 1);
+}
+
+TEST_CASE("a request that ended several servers in a row is a suspect until one answers it") {
+  crash_marks marks;
+  marks.note_ended(1, "a", start);
+  marks.note_ended(1, "a", start);
+  marks.note_ended(1, "b", start);
+  CHECK(!marks.is_suspect(1, start));
+  marks.note_ended(1, "c", start);
+  CHECK(marks.is_suspect(1, start));
+  CHECK(!marks.is_suspect(2, start));
+  CHECK(!marks.is_suspect(1, start + base::seconds(121)));
+  marks.note_answered(1);
+  CHECK(!marks.is_suspect(1, start));
+  for (const auto* id : {"a", "b", "c"}) {
+    marks.note_ended(0, id, start); // no fingerprint
+  }
+  CHECK(!marks.is_suspect(0, start));
+}
--- /dev/null
+++ b/tests/balance/server_board_test.cpp
@@ -0,0 +1,140 @@
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "kingcupshunt/balance/server_board.h"
+
+using namespace kingcupshunt;
+using namespace kingcupshunt::balance;
+using health::attempt_end;
+
+namespace {
+
+const base::time_point start{base::seconds(100)};
+
+fleet::server_record record(const std::string& id, const std::string& data_centre = "a") {
+  fleet::server_record r;
+  r.id = id;
+  r.service = "fitting";
+  r.address = "10.0.0.1:80";
+  r.data_centre = data_centre;
+  r.slots = 3;
+  r.born_ms = 1;
+  return r;
+}
+
+health::attempt attempt(attempt_end end, base::duration total = base::milliseconds(100)) {
+  health::attempt a;
+  a.end = end;
+  a.total = total;
+  return a;
+}
+
+struct board_fixture {
+  explicit board_fixture(int n) : board(board_settings{"a", 7}) {
+    for (int i = 0; i < n; ++i) {
+      board.set_record(record("s" + std::to_string(i)), start);
+    }
+  }
+  std::string begin(std::uint64_t request, bool is_repeatable, base::time_point now) {
+    const auto r = board.begin("fitting", request, is_repeatable, {}, now);
+    return r ? r.value().id : std::string();
+  }
+  server_board board;
+};
+
+} // namespace
+
+TEST_CASE("spells of resets: requests that may not be repeated keep away from servers with a record") {
+  board_fixture f(10);
+  auto now = start;
+  std::uint64_t request = 0;
+  // Server s0 has a spell each second, others have none.
+  std::map<std::string, int> firm;
+  for (int i = 0; i < 1000; ++i) {
+    now += base::milliseconds(20);
+    const bool is_repeatable = i % 5 == 0;
+    const auto id = f.begin(++request, is_repeatable, now);
+    const bool is_spell = id == "s0" && i % 50 < 10;
+    f.board.end(id, request, attempt(is_spell ? attempt_end::closed_unanswered : attempt_end::ok),
+                now);
+    if (!is_repeatable && i > 200) {
+      ++firm[id];
+    }
+  }
+  CHECK(firm["s0"] < 20); // a tenth of 640 would be 64
+  CHECK(firm["s5"] > 40);
+}
+
+TEST_CASE("a failure met by another instance makes a server the last choice here") {
+  board_fixture f(4);
+  f.board.take_total({false, {}, {{"s2", fleet::failure_kind::reset, 0, ""}}}, start);
+  std::map<std::string, int> chosen;
+  for (std::uint64_t i = 1; i <= 9; ++i) {
+    ++chosen[f.begin(i, false, start)];
+  }
+  CHECK(chosen["s2"] == 0);
+  for (std::uint64_t i = 10; i <= 16; ++i) {
+    ++chosen[f.begin(i, false, start)];
+  }
+  CHECK(chosen["s2"] > 0); // not taken out: its slots count when the others are full
+}
+
+TEST_CASE("load of other instances and distance weigh, full servers are not chosen") {
+  board_fixture f(1);
+  f.board.set_record(record("far", "b"), start);
+  CHECK(f.begin(1, true, start) == "s0");
+  f.board.take_total({false, {{"s0", 4}}, {}}, start);
+  CHECK(f.begin(2, true, start) == "far");
+  f.board.take_total({false, {{"far", 5}}, {}}, start);
+  const auto full = f.board.begin("fitting", 3, true, {}, start);
+  REQUIRE(!full);
+  CHECK(full.error() == board_error::all_busy);
+}
+
+TEST_CASE("a server whose address answers for another one is out until it is born again") {
+  board_fixture f(2);
+  auto a = attempt(attempt_end::shed);
+  a.status = 421;
+  f.board.end("s0", 1, a, start);
+  for (std::uint64_t i = 2; i < 5; ++i) {
+    CHECK(f.begin(i, true, start) == "s1");
+  }
+  auto again = record("s0");
+  again.born_ms = 2;
+  f.board.set_record(again, start);
+  CHECK(f.begin(6, true, start) == "s0");
+}
+
+TEST_CASE("draining servers and old news from before a restart get no request") {
+  board_fixture f(1);
+  auto leaving = record("s0");
+  leaving.state = fleet::server_state::draining;
+  f.board.set_record(leaving, start);
+  CHECK(f.begin(1, true, start).empty());
+  auto restored = record("s1");
+  restored.is_restored = true;
+  f.board.set_record(restored, start);
+  CHECK(f.begin(2, true, start) == "s1");
+  CHECK(f.begin(3, true, start + base::seconds(3)).empty());
+}
+
+TEST_CASE("a slow server gets less, and a hanging request counts against its server") {
+  board_fixture f(4);
+  auto now = start;
+  std::uint64_t request = 0;
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 400; ++i) {
+    now += base::milliseconds(50);
+    const auto id = f.begin(++request, true, now);
+    ++chosen[id];
+    f.board.end(id, request,
+                attempt(attempt_end::ok, base::milliseconds(id == "s0" ? 1000 : 100)), now);
+  }
+  CHECK(chosen["s0"] < 40);
+  const auto hung = f.begin(++request, true, now);
+  f.board.tick(now + base::seconds(2));
+  for (int i = 0; i < 6; ++i) {
+    CHECK(f.begin(++request, false, now + base::seconds(2)) != hung);
+  }
+}
--- /dev/null
+++ b/tests/fleet/control_core_test.cpp
@@ -0,0 +1,263 @@
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+
+#include "kingcupshunt/config/document.h"
+#include "kingcupshunt/fleet/control_core.h"
+#include "kingcupshunt/fleet/entry_link.h"
+
+using namespace kingcupshunt;
+using namespace kingcupshunt::fleet;
+using peer::message_kind;
+
+namespace {
+
+constexpr base::milliseconds step{10};
+
+/// Three control instances and an entry over a network that loses what is cut. Disks are instant.
+struct small_fleet {
+  struct control {
+    std::unique_ptr<document_log> log;
+    std::unique_ptr<control_core> core;
+    std::deque<consensus::write_batch> writes;
+  };
+  struct message {
+    std::string from, to, body;
+    message_kind kind{};
+  };
+
+  small_fleet() {
+    for (const auto& id : ids) {
+      make_control(id);
+    }
+    entry_link_settings s;
+    s.self = "e1";
+    s.entry_address = "10.0.0.9:80";
+    entry_link_hooks hooks;
+    hooks.send = [this](std::string_view to, message_kind kind, std::string body) {
+      send("e1", to, kind, std::move(body));
+    };
+    hooks.is_ready = [] { return true; };
+    hooks.is_leaving = [] { return false; };
+    hooks.on_server = [this](const server_record& r) { seen[r.id] = r; };
+    hooks.on_document = [](const config::snapshot&) {};
+    hooks.on_controls = [] {};
+    entry = std::make_unique<entry_link>(std::move(s), std::move(hooks));
+    entry->set_seeds(ids);
+  }
+
+  void make_control(const std::string& id) {
+    auto& c = controls[id];
+    control_settings settings;
+    settings.self = id;
+    settings.store = id;
+    settings.start = base::hash64(id);
+    control_hooks hooks;
+    hooks.send = [this, id](std::string_view to, message_kind kind, std::string body) {
+      send(id, to, kind, std::move(body));
+    };
+    hooks.parse = [](const std::string& text) -> document_result<nlohmann::json> {
+      return nlohmann::json::parse(text);
+    };
+    c.core = std::make_unique<control_core>(std::move(settings), std::move(hooks));
+    for (const auto& other : ids) {
+      c.core->add_control(other);
+    }
+    consensus::replica_settings replica;
+    replica.self = {id, id};
+    replica.initial_voters = ids;
+    replica.seed = base::hash64(id);
+    document_log_hooks log_hooks;
+    log_hooks.send = [this, id](std::string_view to, message_kind kind, std::string body) {
+      send(id, to, kind, std::move(body));
+    };
+    log_hooks.persist = [&c](consensus::write_batch batch) { c.writes.push_back(std::move(batch)); };
+    log_hooks.save_snapshot = [](const consensus::snapshot&) {};
+    log_hooks.on_document = [&c](const versioned_document& d) { c.core->on_document(d); };
+    c.log = std::make_unique<document_log>(std::move(replica), std::move(log_hooks),
+                                           consensus::recovered_state{}, now);
+    c.core->set_log(c.log.get());
+  }
+
+  void send(const std::string& from, std::string_view to, message_kind kind, std::string body) {
+    if (!cut.contains(from) && !cut.contains(to)) {
+      net.push_back({from, std::string(to), std::move(body), kind});
+    }
+  }
+
+  void run(base::duration time) {
+    const auto end = now + time;
+    while (now < end) {
+      now += step;
+      for (auto& m : std::exchange(net, {})) {
+        deliver(m);
+      }
+      for (auto& [id, c] : controls) {
+        while (!c.writes.empty()) {
+          const auto sequence = c.writes.front().sequence;
+          c.writes.pop_front();
+          c.log->log().on_persisted(sequence, true, now);
+        }
+        c.log->tick(now);
+        c.core->tick(now);
+      }
+      entry->tick(now);
+    }
+  }
+
+  void deliver(const message& m) {
+    if (cut.contains(m.from) || cut.contains(m.to)) {
+      return;
+    }
+    if (m.to == "e1") {
+      entry->receive(m.from, m.kind, m.body, now);
+      return;
+    }
+    auto& c = controls.at(m.to);
+    if (m.kind >= message_kind::log_append && m.kind <= message_kind::log_timeout_now) {
+      c.log->receive(m.from, m.kind, m.body, now);
+    } else {
+      c.core->receive(m.from, m.kind, m.body, now);
+    }
+  }
+
+  document_log& leader() {
+    for (auto& [id, c] : controls) {
+      if (!cut.contains(id) && c.log->log().is_ready()) {
+        return *c.log;
+      }
+    }
+    FAIL("no leader");
+    return *controls.begin()->second.log;
+  }
+
+  std::vector<std::string> ids{"c1", "c2", "c3"};
+  base::time_point now{base::seconds(1000)};
+  std::map<std::string, control, std::less<>> controls;
+  std::unique_ptr<entry_link> entry;
+  std::deque<message> net;
+  std::set<std::string, std::less<>> cut;
+  std::map<std::string, server_record> seen;
+};
+
+versioned_document document(std::uint64_t version, const std::string& service) {
+  const std::string secret(64, '0');
+  const nlohmann::json all = {{"services", {{service, {{"secret_sha256", secret}}}}}};
+  return {version, all.dump()};
+}
+
+server_record server(const std::string& id, std::uint64_t sequence, server_state state) {
+  server_record r;
+  r.id = id;
+  r.service = "fitting";
+  r.address = "10.0.1.1:80";
+  r.born_ms = 5;
+  r.sequence = sequence;
+  r.state = state;
+  return r;
+}
+
+} // namespace
+
+TEST_CASE("an accepted document is in force at the entries, and the highest version wins") {
+  small_fleet f;
+  f.run(base::seconds(4));
+  std::optional<bool> first;
+  std::optional<bool> old;
+  f.leader().propose(document(7, "fitting"), [&](bool ok) { first = ok; }, f.now);
+  f.run(base::milliseconds(500));
+  f.leader().propose(document(3, "orders"), [&](bool ok) { old = ok; }, f.now);
+  f.run(base::milliseconds(500));
+  CHECK(first == true);
+  CHECK(old == true); // overtaken, acknowledged, without effect
+  CHECK(f.entry->version() == 7);
+  CHECK(f.entry->configuration().find_service("fitting") != nullptr);
+  CHECK(f.entry->configuration().find_service("orders") == nullptr);
+}
+
+TEST_CASE("of two documents with one version the first in the log counts on all instances") {
+  small_fleet f;
+  f.run(base::seconds(4));
+  f.leader().propose(document(7, "fitting"), [](bool) {}, f.now);
+  f.leader().propose(document(7, "orders"), [](bool) {}, f.now);
+  f.run(base::seconds(1));
+  for (const auto& [id, c] : f.controls) {
+    CHECK(c.log->current().text == document(7, "fitting").text);
+  }
+}
+
+TEST_CASE("a leader that is cut off neither accepts nor reads") {
+  small_fleet f;
+  f.run(base::seconds(4));
+  auto& former = f.leader();
+  f.cut.insert(former.log().leader());
+  std::optional<bool> accepted;
+  std::optional<bool> is_read;
+  former.propose(document(9, "fitting"), [&](bool ok) { accepted = ok; }, f.now);
+  former.read([&](const versioned_document* d) { is_read = d != nullptr; }, f.now);
+  f.run(base::seconds(4));
+  CHECK(accepted == false);
+  CHECK(is_read == false);
+}
+
+TEST_CASE("a farewell is acknowledged once a majority of the control instances has it") {
+  small_fleet f;
+  f.run(base::seconds(4));
+  f.controls["c1"].core->announce(server("s", 1, server_state::ready), [](bool) {}, f.now);
+  f.run(base::milliseconds(200));
+  REQUIRE(f.seen["s"].state == server_state::ready);
+  std::optional<bool> known;
+  f.controls["c1"].core->announce(server("s", 2, server_state::draining),
+                                  [&](bool ok) { known = ok; }, f.now);
+  CHECK(!known);
+  f.run(base::milliseconds(200));
+  CHECK(known == true);
+  CHECK(f.seen["s"].state == server_state::draining);
+  // An entry that hears only of the other instances learns it as well.
+  CHECK(f.controls["c3"].core->servers().find("s")->state == server_state::draining);
+}
+
+TEST_CASE("a control instance that is cut off acknowledges no farewell") {
+  small_fleet f;
+  f.run(base::seconds(4));
+  f.cut.insert("c1");
+  std::optional<bool> known;
+  f.controls["c1"].core->announce(server("s", 2, server_state::draining),
+                                  [&](bool ok) { known = ok; }, f.now);
+  f.run(base::seconds(2));
+  CHECK(known == false);
+}
+
+TEST_CASE("a lost voter of an even number is removed, and taken in again when it is back") {
+  small_fleet f;
+  f.run(base::seconds(4));
+  f.ids.push_back("c4");
+  f.make_control("c4");
+  // The fourth joins by asking; its own settings name no voters.
+  f.controls["c4"].log.reset();
+  consensus::replica_settings replica;
+  replica.self = {"c4", "c4"};
+  document_log_hooks hooks;
+  auto& c = f.controls["c4"];
+  hooks.send = [&f](std::string_view to, message_kind kind, std::string body) {
+    f.send("c4", to, kind, std::move(body));
+  };
+  hooks.persist = [&c](consensus::write_batch batch) { c.writes.push_back(std::move(batch)); };
+  hooks.save_snapshot = [](const consensus::snapshot&) {};
+  hooks.on_document = [](const versioned_document&) {};
+  c.log = std::make_unique<document_log>(std::move(replica), std::move(hooks),
+                                         consensus::recovered_state{}, f.now);
+  c.core->set_log(c.log.get());
+  f.run(base::seconds(4));
+  REQUIRE(f.leader().log().voters().voters.size() == 4);
+  const std::string lost = f.leader().log().leader() == "c4" ? "c1" : "c4";
+  f.cut.insert(lost);
+  f.run(base::seconds(10));
+  CHECK(f.leader().log().voters().voters.size() == 3);
+  CHECK(f.leader().log().voters().find(lost) == nullptr);
+  f.cut.clear();
+  f.run(base::seconds(5));
+  CHECK(f.leader().log().voters().voters.size() == 4);
+}
--- /dev/null
+++ b/tests/proxy/promises_test.cpp
@@ -0,0 +1,194 @@
+#include "harness.h"
+
+#include <doctest/doctest.h>
+
+using namespace kingcupshunt;
+using namespace kingcupshunt::proxy;
+using namespace kingcupshunt::proxy::testing;
+using health::attempt_end;
+
+// Callers that take 408, 421, 429 and 503 for a promise that the request has not run, and servers
+// that sign and echo, as deployments with such names have them.
+
+namespace {
+
+void use_promises(entry_settings& s) {
+  s.names.request_id = "Request-Id";
+  s.names.caller_timeout = "Timeout-Ms";
+  s.names.upstream_timeout = "Timeout-Ms";
+  s.names.expected_instance = "Expected-Instance";
+  s.names.not_run = "Not-Executed";
+  s.names.signature = "Upstream-Signature";
+  s.names.is_request_id_echoed = true;
+  s.names.is_status_a_promise = true;
+  s.names.has_fractional_retry_after = true;
+  s.names.may_answer_end_with_connection = true;
+  s.names.is_shed_budgeted = true;
+}
+
+std::string signed_answer(const std::string& id, const std::string& body = "ok") {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nUpstream-Signature: s\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string not_run_503 = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+const std::string other_instance = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+const std::string order =
+    "POST /a HTTP/1.1\r\nHost: shop\r\nRequest-Id: r1\r\nContent-Length: 5\r\n\r\nhello";
+
+backend::script close_after_request() {
+  return [](backend& b, wire& c, int) { b.read_request(c); };
+}
+
+struct strict_fixture : fixture {
+  explicit strict_fixture(std::vector<std::string> ups) : fixture(std::move(ups), use_promises) {
+    route.is_repeatable = false;
+    route.needs_idempotency_key = false;
+    decisions.reserve = nullptr;
+  }
+};
+
+} // namespace
+
+TEST_CASE("a refusal of one server is not given once another may have run the request") {
+  backend misdirected(always(other_instance));
+  backend cuts(close_after_request());
+  strict_fixture f({misdirected.id(), cuts.id()});
+  f.start();
+  wire c(f.port());
+  c.send(order);
+  CHECK(c.read_answer().status == 502);
+  CHECK(cuts.requests() == 1);
+}
+
+TEST_CASE("a request that no server ran is refused with a promise and a time to come back") {
+  backend full(always(not_run_503));
+  strict_fixture f({full.id()});
+  f.start();
+  wire c(f.port());
+  c.send(order);
+  const auto a = c.read_answer();
+  CHECK(a.status == 503);
+  CHECK(a.field("retry-after") == "0.250");
+}
+
+TEST_CASE("servers that refused a request do not count against the tries of its route") {
+  backend first(always(not_run_503));
+  backend second(always(other_instance));
+  backend third(always(signed_answer("r1")));
+  strict_fixture f({first.id(), second.id(), third.id()});
+  f.route.max_tries = 1;
+  f.start();
+  wire c(f.port());
+  c.send(order);
+  CHECK(c.read_answer().status == 200);
+}
+
+TEST_CASE("a request that may not be repeated is sent once when its connection is cut") {
+  backend cuts(close_after_request());
+  backend good(always(signed_answer("r1")));
+  strict_fixture f({cuts.id(), good.id()});
+  f.start();
+  wire c(f.port());
+  c.send(order);
+  CHECK(c.read_answer().status == 502);
+  CHECK(good.requests() == 0);
+}
+
+TEST_CASE("a late answer to an earlier request is skipped, not given") {
+  backend server(always(signed_answer("r0", "late") + signed_answer("r1", "own")));
+  strict_fixture f({server.id()});
+  f.start();
+  wire c(f.port());
+  c.send(order);
+  const auto a = c.read_answer();
+  CHECK(a.status == 200);
+  CHECK(a.body == "own");
+}
+
+TEST_CASE("a success without signature, without id or with an encoded body is a failure") {
+  const std::string end = "Content-Length: 2\r\n\r\nok";
+  for (const std::string head : {"Request-Id: r1\r\n", "Upstream-Signature: s\r\n",
+                                 "Request-Id: r1\r\nUpstream-Signature: s\r\n"
+                                 "Content-Encoding: gzip\r\n"}) {
+    CAPTURE(head);
+    backend server(always("HTTP/1.1 200 OK\r\n" + head + end));
+    strict_fixture f({server.id()});
+    f.start();
+    wire c(f.port());
+    c.send(order);
+    CHECK(c.read_answer().status == 502);
+  }
+}
+
+TEST_CASE("an answer without length is whole when its connection ends in order") {
+  const std::string text =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nUpstream-Signature: s\r\n\r\nall of it";
+  backend server([text](backend& b, wire& c, int) {
+    if (b.read_request(c)) {
+      c.send(text);
+    }
+  });
+  strict_fixture f({server.id()});
+  f.start();
+  wire c(f.port());
+  c.send(order);
+  const auto a = c.read_answer();
+  CHECK(a.status == 200);
+  CHECK(a.body == "all of it");
+}
+
+TEST_CASE("an answer without length that is reset does not look whole") {
+  backend server([](backend& b, wire& c, int) {
+    if (b.read_request(c)) {
+      c.send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nUpstream-Signature: s\r\n\r\npart");
+      c.reset();
+    }
+  });
+  strict_fixture f({server.id()});
+  f.start();
+  wire c(f.port());
+  c.send(order);
+  CHECK(c.read_answer().status == 502);
+}
+
+TEST_CASE("the instance that is meant and the time that is left go with each try") {
+  backend server(always(signed_answer("r1")));
+  strict_fixture f({server.id()});
+  const auto pick = f.decisions.pick;
+  f.decisions.pick = [pick](const auto& request, auto fingerprint, const auto& tried) {
+    auto target = pick(request, fingerprint, tried);
+    if (target) {
+      target.value().instance = "i-7";
+    }
+    return target;
+  };
+  f.start();
+  wire c(f.port());
+  c.send("POST /a HTTP/1.1\r\nHost: shop\r\nRequest-Id: r1\r\nTimeout-Ms: 300\r\n"
+         "Content-Length: 0\r\n\r\n");
+  CHECK(c.read_answer().status == 200);
+  const auto received = server.received();
+  CHECK(received.find("Expected-Instance: i-7\r\n") != std::string::npos);
+  const auto at = received.find("Timeout-Ms: ");
+  REQUIRE(at != std::string::npos);
+  CHECK(std::stoi(received.substr(at + 12)) <= 300);
+  CHECK(received.find("Timeout-Ms: ", at + 1) == std::string::npos);
+}
+
+TEST_CASE("an answer that comes before a long body is read is given, and its connection is closed") {
+  backend server([](backend& b, wire& c, int) {
+    const auto head = c.read_head();
+    b.note(head);
+    c.send("HTTP/1.1 400 Bad Request\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n"
+           "Content-Length: 0\r\n\r\n");
+    (void)c.is_closed_by_peer(); // reads nothing of the body before
+  });
+  strict_fixture f({server.id()});
+  f.start();
+  wire c(f.port());
+  const std::string body(900'000, 'x');
+  c.send("POST /a HTTP/1.1\r\nHost: shop\r\nRequest-Id: r1\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body);
+  CHECK(c.read_answer().status == 503);
+}
