--- a/include/kingcupshunt/admission/crash_marks.h
+++ b/include/kingcupshunt/admission/crash_marks.h
@@ -12,10 +12,10 @@
 namespace kingcupshunt::admission {
 
 struct crash_mark_settings {
-  std::size_t servers = 3;                       ///< ended connections that make a suspect
-  base::duration memory = base::seconds(60);     ///< of one ended connection
-  base::duration hold = base::seconds(120);      ///< for which a suspect is refused
-  std::size_t max_requests = 4096;               ///< remembered; the oldest go first
+  std::size_t servers = 3;                   ///< ended connections that make a suspect
+  base::duration memory = base::seconds(60); ///< of one ended connection
+  base::duration hold = base::seconds(120);  ///< for which a suspect is refused
+  std::size_t max_requests = 4096;           ///< remembered; the oldest go first
 };
 
 /// Finds requests that crash the servers that run them, by their fingerprint: several servers in a
--- a/include/kingcupshunt/admission/service_gate.h
+++ b/include/kingcupshunt/admission/service_gate.h
@@ -23,14 +23,14 @@
 
 /// A request before its service.
 struct gate_request {
-  std::uint32_t rank = 1;         ///< 0 goes first
-  base::time_point latest_start;  ///< beyond it an answer would come too late to be of use
+  std::uint32_t rank = 1;        ///< 0 goes first
+  base::time_point latest_start; ///< beyond it an answer would come too late to be of use
 };
 
 /// What is known of the service when a request arrives or a slot is freed.
 struct gate_room {
-  std::uint32_t free_slots = 0;  ///< of all servers, as far as known here
-  double starts_per_second = 0;  ///< that this instance can expect, 0: not known
+  std::uint32_t free_slots = 0; ///< of all servers, as far as known here
+  double starts_per_second = 0; ///< that this instance can expect, 0: not known
 };
 
 struct gate_settings {
--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -22,8 +22,8 @@
   std::uint64_t seed = 1;
 
   base::duration memory = base::milliseconds(2000); ///< time constant of outcomes
-  base::duration history = base::seconds(30);  ///< time constant of the long record
-  double history_prior = 8; ///< successes that a server without a record counts as having had
+  base::duration history = base::seconds(30);       ///< time constant of the long record
+  double history_prior = 8;    ///< successes that a server without a record counts as having had
   double reset_weight = 1.0;   ///< of a connection refused or ended without a whole answer
   double error_weight = 0.45;  ///< of an error answer; healthy servers give some as well
   double late_weight = 0.8;    ///< of a request without answer for several times the usual
@@ -33,15 +33,15 @@
   /// What a certain failure costs, in units of one request per slot.
   double repeatable_risk = 3.0;
   double unrepeatable_risk = 16.0;
-  double far_cost = 0.4;       ///< of a server in another data centre
+  double far_cost = 0.4; ///< of a server in another data centre
   /// Random part of a cost. Instances that hold the same reports would otherwise all choose the
   /// same server until the next ones.
   double jitter = 0.25;
-  double cold_factor = 2.0;    ///< time of a request at a server that has just started
-  double silent_risk = 0.15;   ///< chance of failure of a server that no longer announces itself
+  double cold_factor = 2.0;  ///< time of a request at a server that has just started
+  double silent_risk = 0.15; ///< chance of failure of a server that no longer announces itself
 
   std::uint32_t queued_per_server = 1; ///< requests sent to a server beyond its slots
-  double late_factor = 4.0; ///< a request is late after so many times the usual time
+  double late_factor = 4.0;            ///< a request is late after so many times the usual time
   base::duration least_late = base::milliseconds(500);
   /// A server known only from before a restart of its control instance is used this long without
   /// a sign of life. By then one that is there has announced itself again.
@@ -76,9 +76,10 @@
   void set_record(const fleet::server_record& record, base::time_point now);
 
   /// Chooses a server and counts the request there until `end`.
-  base::result<fleet::server_record, board_error>
-  begin(std::string_view service, std::uint64_t request, bool is_repeatable,
-        std::span<const std::string> tried, base::time_point now);
+  base::result<fleet::server_record, board_error> begin(std::string_view service,
+                                                        std::uint64_t request, bool is_repeatable,
+                                                        std::span<const std::string> tried,
+                                                        base::time_point now);
 
   /// The request ended at `server`. `is_answer` of the upstream itself, with its time.
   void end(std::string_view server, std::uint64_t request, const health::attempt& a,
@@ -124,7 +125,7 @@
     std::uint32_t others = 0;
     std::uint32_t reported = 0; ///< own in flight as last reported
     outcome_count outcomes;
-    outcome_count history; ///< resets against successes, over many spells
+    outcome_count history;   ///< resets against successes, over many spells
     double mean_seconds = 0; ///< of whole answers, 0: none yet
     base::time_point answered_at{};
   };
--- a/include/kingcupshunt/config/entities.h
+++ b/include/kingcupshunt/config/entities.h
@@ -41,7 +41,7 @@
   /// False: a request that may not be repeated runs at most once for each attempt of its caller,
   /// and no key that spans attempts is asked for.
   bool needs_idempotency_key = true;
-  bool is_hedged = false;           ///< a late lookup may be sent a second time
+  bool is_hedged = false; ///< a late lookup may be sent a second time
   request_class priority = request_class::normal;
   base::milliseconds timeout{0};           ///< 0: the service's timeout
   base::milliseconds objective{0};         ///< latency objective, 0: none
@@ -52,9 +52,9 @@
 
 struct workspace {
   std::string name;
-  double rate = 10;  ///< requests per second over the whole fleet
-  double burst = 20; ///< requests
-  double weight = 1; ///< share of a contended service
+  double rate = 10;                  ///< requests per second over the whole fleet
+  double burst = 20;                 ///< requests
+  double weight = 1;                 ///< share of a contended service
   bool is_unlimited = false;         ///< no rate and burst
   std::optional<std::uint32_t> rank; ///< goes before the rank of the route
 };
--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -24,13 +24,13 @@
   std::string self; ///< id of this instance, by which the others reach it
   std::string store;
   std::string data_centre;
-  std::uint64_t start = 1; ///< random number of this process, not 0
+  std::uint64_t start = 1;                                 ///< random number of this process, not 0
   base::duration beat_interval = base::milliseconds(1500); ///< of announcements
   base::duration share_timeout = base::milliseconds(900);  ///< for a majority's acknowledgement
   base::duration entry_timeout = base::milliseconds(1800); ///< an unheard entry is not handed out
   base::duration contact_timeout = base::milliseconds(2500); ///< out of touch after this
-  base::duration voter_timeout_even = base::seconds(6);  ///< a lost voter of an even number
-  base::duration voter_timeout_odd = base::seconds(30);  ///< a lost voter of an odd number
+  base::duration voter_timeout_even = base::seconds(6);      ///< a lost voter of an even number
+  base::duration voter_timeout_odd = base::seconds(30);      ///< a lost voter of an odd number
 };
 
 struct control_hooks {
--- a/include/kingcupshunt/fleet/entry_link.h
+++ b/include/kingcupshunt/fleet/entry_link.h
@@ -26,7 +26,7 @@
   base::duration first_ask_interval = base::milliseconds(100); ///< until the lease is valid
   base::duration fetch_timeout = base::milliseconds(300);
   base::duration relay_timeout = base::milliseconds(1200); ///< an unheard control is no relay
-  base::duration forget_control = base::seconds(30); ///< one that is neither seed nor voter
+  base::duration forget_control = base::seconds(30);       ///< one that is neither seed nor voter
 };
 
 struct entry_link_hooks {
--- a/include/kingcupshunt/fleet/messages.h
+++ b/include/kingcupshunt/fleet/messages.h
@@ -48,22 +48,22 @@
 
 /// Answer to entry_ask (entry_answer).
 struct entry_answer {
-  std::uint64_t sequence = 0; ///< of the question
-  bool is_voter = false;      ///< the sender votes with its present data folder
-  std::uint64_t held = 0;     ///< last log index that it holds, committed or not
-  std::uint64_t applied = 0;  ///< last log index that it has applied
-  std::uint64_t document = 0; ///< version of the document after `applied`
+  std::uint64_t sequence = 0;      ///< of the question
+  bool is_voter = false;           ///< the sender votes with its present data folder
+  std::uint64_t held = 0;          ///< last log index that it holds, committed or not
+  std::uint64_t applied = 0;       ///< last log index that it has applied
+  std::uint64_t document = 0;      ///< version of the document after `applied`
   std::vector<std::string> voters; ///< empty: as the asking instance knows them
   std::string data_centre;         ///< of the sender
-  std::uint64_t voters_index = 0; ///< log index that set the voters
-  std::uint32_t entries = 1;      ///< entry instances heard lately
+  std::uint64_t voters_index = 0;  ///< log index that set the voters
+  std::uint32_t entries = 1;       ///< entry instances heard lately
   table_part table;
 
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("q", sequence), MSGPACK_NVP("v", is_voter), MSGPACK_NVP("h", held),
                      MSGPACK_NVP("a", applied), MSGPACK_NVP("d", document),
                      MSGPACK_NVP("vs", voters), MSGPACK_NVP("z", data_centre),
-                     MSGPACK_NVP("vi", voters_index),
-                     MSGPACK_NVP("n", entries), MSGPACK_NVP("t", table))
+                     MSGPACK_NVP("vi", voters_index), MSGPACK_NVP("n", entries),
+                     MSGPACK_NVP("t", table))
 };
 
 /// A control instance has applied a further document (commit_notice).
@@ -142,8 +142,7 @@
   bool is_full = false; ///< servers that are not listed have nothing in flight
   std::vector<server_load> loads;
   std::vector<failure_note> failures;
-  MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", is_full), MSGPACK_NVP("l", loads),
-                     MSGPACK_NVP("f", failures))
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", is_full), MSGPACK_NVP("l", loads), MSGPACK_NVP("f", failures))
 };
 
 } // namespace kingcupshunt::fleet
--- a/include/kingcupshunt/fleet/server_record.h
+++ b/include/kingcupshunt/fleet/server_record.h
@@ -37,9 +37,9 @@
   bool operator==(const server_record&) const = default;
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("i", id), MSGPACK_NVP("s", service), MSGPACK_NVP("a", address),
                      MSGPACK_NVP("z", data_centre), MSGPACK_NVP("n", slots),
-                     MSGPACK_NVP("t", state), MSGPACK_NVP("b", born_ms),
-                     MSGPACK_NVP("q", sequence), MSGPACK_NVP("c", cold_left_ms),
-                     MSGPACK_NVP("h", home), MSGPACK_NVP("x", is_silent), MSGPACK_NVP("o", is_restored))
+                     MSGPACK_NVP("t", state), MSGPACK_NVP("b", born_ms), MSGPACK_NVP("q", sequence),
+                     MSGPACK_NVP("c", cold_left_ms), MSGPACK_NVP("h", home),
+                     MSGPACK_NVP("x", is_silent), MSGPACK_NVP("o", is_restored))
 };
 
 } // namespace kingcupshunt::fleet
--- a/include/kingcupshunt/proxy/wire_names.h
+++ b/include/kingcupshunt/proxy/wire_names.h
@@ -9,8 +9,9 @@
 struct wire_names {
   std::string key_scheme = "bearer"; ///< scheme of Authorization, lower case
   std::string request_id = "X-Request-Id";
-  std::string caller_timeout;                                ///< from the caller: its patience, ms
-  std::string upstream_timeout = "X-Kingcupshunt-Deadline-Ms"; ///< to the upstream: what is left, ms
+  std::string caller_timeout; ///< from the caller: its patience, ms
+  std::string upstream_timeout =
+      "X-Kingcupshunt-Deadline-Ms"; ///< to the upstream: what is left, ms
   std::string workspace = "X-Kingcupshunt-Workspace";
   std::string expected_instance; ///< to the upstream: id of the instance that is meant
   std::string not_run;           ///< from the upstream: it has not run the request
--- a/include/kingcupshunt/settings/role_settings.h
+++ b/include/kingcupshunt/settings/role_settings.h
@@ -18,12 +18,12 @@
 
 /// Bounds and shares that entry and control instances agree on.
 struct role_bounds {
-  base::duration lease = base::seconds(3);            ///< of an entry without a control majority
+  base::duration lease = base::seconds(3); ///< of an entry without a control majority
   base::duration beat_interval = base::milliseconds(1500); ///< of backend servers
-  base::duration stop_grace = base::seconds(6);       ///< from the request to stop to a kill
+  base::duration stop_grace = base::seconds(6);            ///< from the request to stop to a kill
   base::duration address_lifetime = base::milliseconds(1500); ///< of an answer to callers
-  double retry_share = 0.2;                           ///< further tries for each request
-  double retry_slack = 50;                            ///< further tries of a service in a window
+  double retry_share = 0.2;                                   ///< further tries for each request
+  double retry_slack = 50; ///< further tries of a service in a window
   base::duration retry_window = base::seconds(10);
 };
 
@@ -32,8 +32,8 @@
   std::string id; ///< IP address, by which the other instances reach it
   std::string data_centre;
   std::string fleet = "kingcupshunt";
-  std::string fleet_secret; ///< of the connections between instances
-  listen_address peer;      ///< the port is the same on all instances
+  std::string fleet_secret;       ///< of the connections between instances
+  listen_address peer;            ///< the port is the same on all instances
   std::vector<std::string> seeds; ///< ids of control instances to begin with
   bool is_first_start = false;    ///< control: the seeds found the replicated log
   std::string data_folder;        ///< control: of the replicated log
--- a/src/admission/crash_marks.cpp
+++ b/src/admission/crash_marks.cpp
@@ -15,8 +15,8 @@
     return;
   }
   if (marks_.size() >= settings_.max_requests && !marks_.contains(fingerprint)) {
-    const auto oldest = std::ranges::min_element(
-        marks_, {}, [](const auto& item) { return item.second.at; });
+    const auto oldest =
+        std::ranges::min_element(marks_, {}, [](const auto& item) { return item.second.at; });
     marks_.erase(oldest);
   }
   auto& m = marks_[fingerprint];
--- a/src/admission/service_gate.cpp
+++ b/src/admission/service_gate.cpp
@@ -8,8 +8,8 @@
   if (room.starts_per_second <= 0) {
     return {};
   }
-  const auto ahead = static_cast<double>(std::ranges::count_if(
-      waiting_, [&](const auto& item) { return item.first.first <= rank; }));
+  const auto ahead = static_cast<double>(
+      std::ranges::count_if(waiting_, [&](const auto& item) { return item.first.first <= rank; }));
   return base::from_seconds((ahead + 1) / room.starts_per_second);
 }
 
--- a/src/balance/server_board.cpp
+++ b/src/balance/server_board.cpp
@@ -125,8 +125,7 @@
     decay(h, settings_.history, now);
     spells = h.failures / (h.failures + h.successes + settings_.history_prior);
   }
-  const double distance =
-      s.record.data_centre == settings_.data_centre ? 0 : settings_.far_cost;
+  const double distance = s.record.data_centre == settings_.data_centre ? 0 : settings_.far_cost;
   return load * slowness(s, of, now) + risk * (failure_chance(s, now) + spells) + distance;
 }
 
@@ -149,8 +148,7 @@
       is_busy = true;
       continue;
     }
-    const double c =
-        cost(s, of->second, is_repeatable, now) + settings_.jitter * rng_.unit();
+    const double c = cost(s, of->second, is_repeatable, now) + settings_.jitter * rng_.unit();
     if (best == nullptr || c < best_cost) {
       best = &s;
       best_cost = c;
@@ -231,13 +229,11 @@
                        ? seconds
                        : s.mean_seconds + settings_.latency_gain * (seconds - s.mean_seconds);
   s.answered_at = now;
-  of.mean_seconds = of.mean_seconds == 0
-                        ? seconds
-                        : of.mean_seconds + service_gain * (seconds - of.mean_seconds);
+  of.mean_seconds =
+      of.mean_seconds == 0 ? seconds : of.mean_seconds + service_gain * (seconds - of.mean_seconds);
 }
 
-std::uint32_t server_board::free_slots(std::string_view service,
-                                       base::time_point now) const {
+std::uint32_t server_board::free_slots(std::string_view service, base::time_point now) const {
   const auto of = services_.find(service);
   std::uint32_t n = 0;
   if (of != services_.end()) {
--- a/src/config/to_document.cpp
+++ b/src/config/to_document.cpp
@@ -52,10 +52,8 @@
 }
 
 json to_json(const workspace& w) {
-  json out = {{"rate", w.rate},
-              {"burst", w.burst},
-              {"weight", w.weight},
-              {"is_unlimited", w.is_unlimited}};
+  json out = {
+      {"rate", w.rate}, {"burst", w.burst}, {"weight", w.weight}, {"is_unlimited", w.is_unlimited}};
   if (w.rank) {
     out["rank"] = *w.rank;
   }
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -144,8 +144,7 @@
   if (pushed_ == table_.position()) {
     return;
   }
-  const table_part part{settings_.start, pushed_, table_.position(),
-                        table_.changed_since(pushed_)};
+  const table_part part{settings_.start, pushed_, table_.position(), table_.changed_since(pushed_)};
   pushed_ = table_.position();
   const auto body = peer::pack(part);
   for (const auto& [id, e] : entries_) {
@@ -251,8 +250,7 @@
   bool is_urgent = false;
   for (const auto& r : share.records) {
     const auto merged = table_.merge(r, now);
-    is_urgent =
-        is_urgent || (merged == merge_result::changed && r.state != server_state::ready);
+    is_urgent = is_urgent || (merged == merge_result::changed && r.state != server_state::ready);
   }
   if (is_urgent) {
     push_changes();
@@ -351,8 +349,8 @@
   }
   for (const auto& [id, at] : joins_) {
     const auto& voters = replica.voters();
-    const bool is_known = voters.find(id) != nullptr ||
-                          std::ranges::find(voters.joining, id) != voters.joining.end();
+    const bool is_known =
+        voters.find(id) != nullptr || std::ranges::find(voters.joining, id) != voters.joining.end();
     if (!is_known && replica.add_voter(id, now)) {
       log("control_joins", id);
       return;
@@ -362,7 +360,8 @@
 }
 
 /// An even number of voters bears no more losses than the odd number below it, so that a voter lost
-/// from an even number goes soon, and from an odd number only after a time that repairs rarely take.
+/// from an even number goes soon, and from an odd number only after a time that repairs rarely
+/// take.
 void control_core::remove_lost_voter(base::time_point now) {
   auto& replica = log_->log();
   const auto& voters = replica.voters();
--- a/src/fleet/document_log.cpp
+++ b/src/fleet/document_log.cpp
@@ -76,8 +76,7 @@
   }
 }
 
-void document_log::read(std::function<void(const versioned_document*)> done,
-                        base::time_point now) {
+void document_log::read(std::function<void(const versioned_document*)> done, base::time_point now) {
   replica_.read_index(
       [this, done = std::move(done)](bool is_newest) { done(is_newest ? &current_ : nullptr); },
       now);
--- a/src/fleet/entry_link.cpp
+++ b/src/fleet/entry_link.cpp
@@ -85,9 +85,8 @@
            std::ranges::find(lease_.voters(), id) != lease_.voters().end() ||
            now - c.heard_at < settings_.forget_control;
   };
-  if (std::erase_if(controls_, [&](const auto& item) {
-        return !is_wanted(item.first, item.second);
-      }) > 0) {
+  if (std::erase_if(controls_,
+                    [&](const auto& item) { return !is_wanted(item.first, item.second); }) > 0) {
     hooks_.on_controls();
   }
   for (auto& [id, c] : controls_) {
@@ -206,8 +205,8 @@
   }
   const auto parsed = nlohmann::json::parse(content.text, nullptr, false);
   auto next = content.base == 0 ? config::snapshot{} : configuration_;
-  const auto applied = parsed.is_discarded() ? config::result<void>(config::error{})
-                                             : next.apply(parsed);
+  const auto applied =
+      parsed.is_discarded() ? config::result<void>(config::error{}) : next.apply(parsed);
   if (!applied) {
     ++malformed_;
     if (hooks_.log) {
--- a/src/fleet/server_table.cpp
+++ b/src/fleet/server_table.cpp
@@ -127,9 +127,8 @@
                           base::time_point now) {
   std::erase_if(entries_, [&](const auto& item) {
     const auto& e = item.second;
-    const bool is_due =
-        (e.record.state == server_state::gone && now - e.changed_at > gone_for) ||
-        (now - std::max(e.heard_at, e.changed_at) > silent_for);
+    const bool is_due = (e.record.state == server_state::gone && now - e.changed_at > gone_for) ||
+                        (now - std::max(e.heard_at, e.changed_at) > silent_for);
     if (is_due) {
       const auto holder = holders_.find(e.record.address);
       if (holder != holders_.end() && holder->second == item.first) {
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -156,9 +156,9 @@
   out.on_document = [this](const fleet::versioned_document& d) { on_document(d); };
   out.on_role = [this] {
     const auto& log = documents->log();
-    observe::log_info("log_role", {{"term", log.term()},
-                                   {"is_leader", log.is_leader()},
-                                   {"leader", log.leader()}});
+    observe::log_info(
+        "log_role",
+        {{"term", log.term()}, {"is_leader", log.is_leader()}, {"leader", log.leader()}});
   };
   return out;
 }
@@ -227,8 +227,8 @@
   written_position = core->servers().position();
 }
 
-/// The table shortens the recovery after a loss of power of all instances: callers are served before
-/// every server has announced itself again. It is written beside the event loop.
+/// The table shortens the recovery after a loss of power of all instances: callers are served
+/// before every server has announced itself again. It is written beside the event loop.
 void control_node::impl::write_servers(base::time_point now) {
   const auto position = core->servers().position();
   if (is_writing || now < write_at || position == written_position) {
@@ -240,13 +240,13 @@
   boost::asio::post(writer, [this, text = peer::pack(fleet::record_share{0, core->records()})] {
     const auto written =
         storage::write_whole(*files, runtime.settings.data_folder, servers_name, text);
-    boost::asio::post(runtime.io, [this, failure = written ? std::string()
-                                                          : storage::describe(written.error())] {
-      is_writing = false;
-      if (!failure.empty()) {
-        observe::log_warning("servers_not_written", {{"error", failure}});
-      }
-    });
+    boost::asio::post(
+        runtime.io, [this, failure = written ? std::string() : storage::describe(written.error())] {
+          is_writing = false;
+          if (!failure.empty()) {
+            observe::log_warning("servers_not_written", {{"error", failure}});
+          }
+        });
   });
 }
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -172,10 +172,9 @@
   link.ask_now();
   link.tick(now);
   entry->close_after_answers();
-  stop_timer.expires_at(
-      std::min(now + base::from_seconds(base::to_seconds(bounds.address_lifetime) *
-                                        address_lifetimes),
-               stop_at));
+  stop_timer.expires_at(std::min(
+      now + base::from_seconds(base::to_seconds(bounds.address_lifetime) * address_lifetimes),
+      stop_at));
   stop_timer.async_wait([this, stop_at](boost::system::error_code) { close_entry(stop_at); });
 }
 
@@ -202,9 +201,8 @@
 
 void entry_node::run() {
   const auto& s = impl_->runtime.settings;
-  observe::log_info("entry_started", {{"id", s.id},
-                                      {"data_centre", s.data_centre},
-                                      {"entry", s.entry.to_string()}});
+  observe::log_info("entry_started",
+                    {{"id", s.id}, {"data_centre", s.data_centre}, {"entry", s.entry.to_string()}});
   impl_->runtime.run();
 }
 
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -79,9 +79,7 @@
     admit(request, std::move(done));
   };
   out.on_refusal = [this](const proxy::request_head& head, const refusal& r,
-                          const std::vector<std::string>& tried) {
-    note_refusal(head, r, tried);
-  };
+                          const std::vector<std::string>& tried) { note_refusal(head, r, tried); };
   out.finish = [](const proxy::authorized_request&) {};
   out.pick = [this](const proxy::authorized_request& request, std::uint64_t fingerprint,
                     const std::vector<std::string>& tried) {
@@ -227,7 +225,8 @@
   admission::gate_room out;
   out.free_slots = board_.free_slots(service, now);
   if (const auto usual = board_.usual_time(service)) {
-    out.starts_per_second = board_.slots(service, now) / base::to_seconds(*usual) / link_.entry_count();
+    out.starts_per_second =
+        board_.slots(service, now) / base::to_seconds(*usual) / link_.entry_count();
   }
   return out;
 }
@@ -237,18 +236,17 @@
   const auto now = base::clock::now();
   const auto& service = request.service->name;
   admission::gate_request asked;
-  asked.rank = request.workspace && request.workspace->rank ? *request.workspace->rank
-                                                            : request.route->rank;
+  asked.rank =
+      request.workspace && request.workspace->rank ? *request.workspace->rank : request.route->rank;
   asked.latest_start = request.deadline - board_.usual_time(service).value_or(base::duration{});
-  gates_[service].enter(asked, room_of(service, now), now,
-                        [done = std::move(done)](admission::gate_result refused) {
-                          if (!refused) {
-                            done(base::success());
-                          } else {
-                            done(not_run(503, "servers_full", "no server has room in time",
-                                         crowded_retry_after));
-                          }
-                        });
+  gates_[service].enter(
+      asked, room_of(service, now), now, [done = std::move(done)](admission::gate_result refused) {
+        if (!refused) {
+          done(base::success());
+        } else {
+          done(not_run(503, "servers_full", "no server has room in time", crowded_retry_after));
+        }
+      });
 }
 
 void entry_traffic::dispatch(const std::string& service, base::time_point now) {
@@ -265,9 +263,9 @@
   }
 }
 
-proxy::decided<proxy::upstream_target>
-entry_traffic::pick(const proxy::authorized_request& request, std::uint64_t fingerprint,
-                    const std::vector<std::string>& tried) {
+proxy::decided<proxy::upstream_target> entry_traffic::pick(const proxy::authorized_request& request,
+                                                           std::uint64_t fingerprint,
+                                                           const std::vector<std::string>& tried) {
   const auto now = base::clock::now();
   // The request may have waited, and the machine may have stood still meanwhile.
   if (!request.route->is_open && !link_.is_fresh()) {
@@ -278,8 +276,8 @@
     return not_run(503, "crash_suspect", "this request ended the servers that ran it before",
                    suspect_retry_after);
   }
-  auto chosen = board_.begin(request.service->name, request.serial, request.route->is_repeatable,
-                             tried, now);
+  auto chosen =
+      board_.begin(request.service->name, request.serial, request.route->is_repeatable, tried, now);
   if (!chosen) {
     switch (chosen.error()) {
     case balance::board_error::unknown_service:
@@ -299,9 +297,8 @@
   out.instance = record.id;
   const auto colon = record.address.rfind(':');
   out.address = record.address.substr(0, colon);
-  out.port = static_cast<std::uint16_t>(
-      std::strtoul(record.address.c_str() + (colon == std::string::npos ? 0 : colon + 1), nullptr,
-                   10));
+  out.port = static_cast<std::uint16_t>(std::strtoul(
+      record.address.c_str() + (colon == std::string::npos ? 0 : colon + 1), nullptr, 10));
   return out;
 }
 
--- a/src/node/role_runtime.cpp
+++ b/src/node/role_runtime.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr base::milliseconds tick_interval{25};  // half of the age that load sums may have
-constexpr base::seconds reload_interval{1};      // settings may change without a signal
+constexpr base::milliseconds tick_interval{25}; // half of the age that load sums may have
+constexpr base::seconds reload_interval{1};     // settings may change without a signal
 
 std::uint64_t random_number() {
   return base::hash64(base::random_bytes(sizeof(std::uint64_t))) | 1U;
@@ -26,7 +26,7 @@
   out.secret = s.fleet_secret;
   out.listen_address = s.peer.to_string();
   out.limits.greatest_backoff = base::milliseconds(200); // a healed cut is to be used soon
-  out.limits.connect_timeout = base::milliseconds(400);  // an instance without power answers nothing
+  out.limits.connect_timeout = base::milliseconds(400); // an instance without power answers nothing
   out.limits.silence = base::milliseconds(1500);
   out.seed = random_number();
   return out;
@@ -58,9 +58,8 @@
   metrics.count("peer_messages_total");
   metrics.count("peer_bytes_total", {}, static_cast<double>(body.size()));
   if (to == settings.id) {
-    boost::asio::post(io, [this, kind, body = std::move(body)] {
-      hooks_.on_message(settings.id, kind, body);
-    });
+    boost::asio::post(
+        io, [this, kind, body = std::move(body)] { hooks_.on_message(settings.id, kind, body); });
     return;
   }
   transport->send(to, kind, std::move(body));
--- a/src/proxy/entry_server.cpp
+++ b/src/proxy/entry_server.cpp
@@ -115,7 +115,8 @@
 void entry_server::impl::refuse_connection(tcp::socket& socket, const char* reason) {
   context->metrics.count_refusal(reason);
   const refusal r{503, reason, "too many open connections", ran_state::no, std::nullopt};
-  const auto text = refusal_answer(r, context->next_request_id(), false, true, context->settings.names);
+  const auto text =
+      refusal_answer(r, context->next_request_id(), false, true, context->settings.names);
   error_code ec;
   socket.non_blocking(true, ec);
   socket.write_some(asio::buffer(text), ec);
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -177,7 +177,8 @@
 }
 
 /// Writes the body beside the wait for the answer: an upstream may refuse a long request before it
-/// has read it. The connection is kept only when the body has gone out whole before the answer ends.
+/// has read it. The connection is kept only when the body has gone out whole before the answer
+/// ends.
 awaitable<void> exchange::write_rest() {
   const auto connection = connection_;
   if (!connection) {
@@ -307,8 +308,8 @@
   if (names.is_request_id_echoed && answer().count(names.request_id) == 0) {
     return "a success without the request's id";
   }
-  if (!names.signature.empty() && (answer().count(names.signature) == 0 ||
-                                   answer().count(http::field::content_encoding) > 0)) {
+  if (!names.signature.empty() &&
+      (answer().count(names.signature) == 0 || answer().count(http::field::content_encoding) > 0)) {
     return "a success without signature or with an encoded body";
   }
   return nullptr;
@@ -349,9 +350,9 @@
   const auto limit = context_.settings.max_stored_answer_bytes;
   const auto length = answer_length();
   const bool must_see_end = context_.settings.names.may_answer_end_with_connection;
-  const bool is_wanted = length ? *length <= limit
-                                : must_see_end || request_->must_store ||
-                                      answer().result_int() >= 500;
+  const bool is_wanted = length
+                             ? *length <= limit
+                             : must_see_end || request_->must_store || answer().result_int() >= 500;
   if (!is_wanted) {
     co_return;
   }
--- a/src/proxy/request_answer.cpp
+++ b/src/proxy/request_answer.cpp
@@ -17,8 +17,9 @@
 
 bool request_run::must_close() const {
   const auto& parser = *caller_->parser;
-  return caller_->is_closing || caller_->has_leftover || context_.is_stopping || context_.is_stopping_soon ||
-         !parser.is_done() || !parser.keep_alive() || !caller_->stream->buffered().empty();
+  return caller_->is_closing || caller_->has_leftover || context_.is_stopping ||
+         context_.is_stopping_soon || !parser.is_done() || !parser.keep_alive() ||
+         !caller_->stream->buffered().empty();
 }
 
 base::time_point request_run::write_deadline() const {
@@ -42,8 +43,7 @@
 /// "Not run" speaks of the whole life of an idempotency key. Before the reservation has told that
 /// no earlier attempt exists, that can't be said.
 refusal request_run::with_key_history(refusal r) const {
-  const bool has_history =
-      is_reserving() && head_.idempotency_key.has_value();
+  const bool has_history = is_reserving() && head_.idempotency_key.has_value();
   if (has_history && !was_reserved_ && r.ran == ran_state::no) {
     r.ran = ran_state::unknown;
   }
@@ -84,7 +84,8 @@
     caller_->is_closing = true;
     co_return;
   }
-  const auto text = refusal_answer(r, head_.request_id, is_head_method_, must_close(), context_.settings.names);
+  const auto text =
+      refusal_answer(r, head_.request_id, is_head_method_, must_close(), context_.settings.names);
   co_await write_to_caller(text, {});
 }
 
@@ -137,7 +138,8 @@
   if (ex->answer().result_int() == 204) {
     framing = body_framing{};
   }
-  const auto head = caller_head(ex->answer(), framing, head_.request_id, must_close(), context_.settings.names);
+  const auto head =
+      caller_head(ex->answer(), framing, head_.request_id, must_close(), context_.settings.names);
   co_await write_to_caller(head, ex->held());
 }
 
@@ -150,7 +152,8 @@
       ex->cancel();
     }
   };
-  const auto head = caller_head(ex->answer(), framing, head_.request_id, must_close(), context_.settings.names);
+  const auto head =
+      caller_head(ex->answer(), framing, head_.request_id, must_close(), context_.settings.names);
   co_await write_to_caller(head, {});
   std::string piece = ex->held();
   std::size_t size = piece.size();
--- a/src/proxy/request_run.cpp
+++ b/src/proxy/request_run.cpp
@@ -167,9 +167,9 @@
     }
   }
   const bool is_long = length > context_.settings.max_replay_bytes;
-  is_streamed_ = !caller_->parser->is_done() &&
-                 (route.needs_idempotency_key ? route.is_repeatable && (is_chunked_ || is_long)
-                                              : is_long);
+  is_streamed_ =
+      !caller_->parser->is_done() &&
+      (route.needs_idempotency_key ? route.is_repeatable && (is_chunked_ || is_long) : is_long);
   if (is_chunked_ && !is_streamed_) {
     fields_ = head; // the parser adds trailers, which nobody has checked, to its fields
   }
@@ -191,7 +191,8 @@
     fields.set(http::field::cache_control, "max-age=" + std::to_string(answer->max_age->count()));
   }
   const body_framing framing{false, answer->body.size()};
-  const auto head = caller_head(fields, framing, head_.request_id, must_close(), context_.settings.names);
+  const auto head =
+      caller_head(fields, framing, head_.request_id, must_close(), context_.settings.names);
   const std::string_view body = is_head_method_ ? std::string_view{} : answer->body;
   co_await write_to_caller(head, body);
   co_return true;
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -160,8 +160,8 @@
   const bool was_not_sent = last.end == attempt_end::connect_failed;
   const bool is_allowed =
       out_->is_resendable || (was_not_sent && !may_have_run_ && body_bytes_ == 0);
-  if (!is_allowed || base::clock::now() >= auth_.deadline ||
-      !has_tries_left() || caller_->is_gone) {
+  if (!is_allowed || base::clock::now() >= auth_.deadline || !has_tries_left() ||
+      caller_->is_gone) {
     co_return false;
   }
   if (!context_.hook.may_retry || !context_.hook.may_retry(auth_, last)) {
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -123,7 +123,8 @@
   context_->metrics.count_refusal(r.reason);
   caller_->is_closing = true;
   caller_->stream->expires_at(base::clock::now() + context_->settings.write_timeout);
-  const auto text = refusal_answer(r, context_->next_request_id(), false, true, context_->settings.names);
+  const auto text =
+      refusal_answer(r, context_->next_request_id(), false, true, context_->settings.names);
   const auto ec = co_await caller_->stream->write(text);
   if (ec) {
     caller_->is_gone = true;
