--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "kingcupshunt/config/document.h"
+#include "kingcupshunt/peer/handle.h"
 
 namespace kingcupshunt::fleet {
 
@@ -14,15 +15,12 @@
 constexpr std::size_t kept_documents = 24;            // changes in quick succession go as deltas
 constexpr base::milliseconds table_resend{600};       // an answer of 20 KB on a link of 5 Mbit/s
 constexpr base::milliseconds share_resend{250};       // a lost share is sent again
-constexpr base::milliseconds join_interval{500};      // between two requests to be taken in
 constexpr base::milliseconds slow_tick_interval{200}; // for what is counted in seconds
 constexpr base::milliseconds flush_interval{50};      // load sums are as old as this at most
 constexpr base::milliseconds load_memory{2500};       // entries report at least every second
-constexpr base::seconds join_memory{2};               // a request to be taken in counts this long
 constexpr base::seconds gone_memory{60};              // late announcements are refused this long
 constexpr base::seconds unheard_memory{120};          // records without any news are dropped
 constexpr int missed_beats = 3;                       // announcements until a server is silent
-constexpr std::size_t least_voters = 3;               // none is removed below this number
 
 } // namespace
 
@@ -161,36 +159,27 @@
   }
 }
 
-template <class T, class F>
-static bool handle(std::string_view body, F&& f) {
-  auto m = peer::unpack<T>(body);
-  if (m) {
-    f(*m);
-  }
-  return m.has_value();
-}
-
 void control_core::receive(std::string_view from, message_kind kind, std::string_view body,
                            base::time_point now) {
   bool is_ok = false;
   switch (kind) {
   case message_kind::entry_ask:
-    is_ok = handle<entry_ask>(body, [&](const auto& m) { on_ask(from, m, now); });
+    is_ok = peer::handle<entry_ask>(body, [&](const auto& m) { on_ask(from, m, now); });
     break;
   case message_kind::document_fetch:
-    is_ok = handle<document_fetch>(body, [&](const auto& m) { on_fetch(from, m); });
+    is_ok = peer::handle<document_fetch>(body, [&](const auto& m) { on_fetch(from, m); });
     break;
   case message_kind::record_share:
-    is_ok = handle<record_share>(body, [&](const auto& m) { on_share(from, m, now); });
+    is_ok = peer::handle<record_share>(body, [&](const auto& m) { on_share(from, m, now); });
     break;
   case message_kind::record_share_ack:
-    is_ok = handle<record_share_ack>(body, [&](const auto& m) { on_share_ack(from, m); });
+    is_ok = peer::handle<record_share_ack>(body, [&](const auto& m) { on_share_ack(from, m); });
     break;
   case message_kind::control_join:
-    is_ok = handle<control_join>(body, [&](const auto& m) { on_join(from, m, now); });
+    is_ok = peer::handle<control_join>(body, [&](const auto& m) { on_join(from, m, now); });
     break;
   case message_kind::load_pulse:
-    is_ok = handle<load_report>(body, [&](const auto& m) { on_pulse(from, m, now); });
+    is_ok = peer::handle<load_report>(body, [&](const auto& m) { on_pulse(from, m, now); });
     break;
   default:
     break;
@@ -346,129 +335,6 @@
   joins_.insert_or_assign(std::string(from), now);
 }
 
-/// Whoever hears no leader asks to be taken in: a new instance, one that was removed while it was
-/// away, and one that knows former voters only.
-void control_core::keep_voters(base::time_point now) {
-  auto& replica = log_->log();
-  for (const auto& v : replica.voters().voters) {
-    add_control(v.id);
-  }
-  for (const auto& id : replica.voters().joining) {
-    add_control(id);
-  }
-  if (replica.hears_leader(now)) {
-    in_touch_at_ = now;
-  } else if (now >= join_at_) {
-    join_at_ = now + join_interval;
-    const auto body = peer::pack(control_join{settings_.store});
-    for (const auto& id : controls_) {
-      hooks_.send(id, message_kind::control_join, body);
-    }
-  }
-  std::erase_if(joins_, [&](const auto& j) { return now - j.second > join_memory; });
-  if (!replica.may_change_voters_now()) {
-    return;
-  }
-  for (const auto& [id, at] : joins_) {
-    const auto& voters = replica.voters();
-    const bool is_known =
-        voters.find(id) != nullptr || std::ranges::find(voters.joining, id) != voters.joining.end();
-    if (!is_known && replica.add_voter(id, now)) {
-      log("control_joins", id);
-      return;
-    }
-  }
-  remove_lost_voter(now);
-}
-
-/// An even number of voters bears no more losses than the odd number below it, so that a voter lost
-/// from an even number goes soon, and from an odd number only after a time that repairs rarely
-/// take.
-void control_core::remove_lost_voter(base::time_point now) {
-  auto& replica = log_->log();
-  const auto& voters = replica.voters();
-  const auto limit =
-      voters.voters.size() % 2 == 0 ? settings_.voter_timeout_even : settings_.voter_timeout_odd;
-  if (voters.voters.size() <= least_voters) {
-    return;
-  }
-  for (const auto& v : voters.voters) {
-    const auto heard = replica.last_heard(v.id);
-    if (heard && now - *heard > limit) {
-      log("control_removed", v.id);
-      (void)replica.remove_voter(v.id, now); // tried again with the next tick
-      return;
-    }
-  }
-  for (const auto& id : voters.joining) {
-    const auto heard = replica.last_heard(id);
-    if (heard && now - *heard > limit) {
-      log("control_join_given_up", id);
-      (void)replica.remove_voter(id, now);
-      return;
-    }
-  }
-}
-
-void control_core::on_pulse(std::string_view from, const load_report& report,
-                            base::time_point now) {
-  loads_.heard.insert_or_assign(std::string(from), now);
-  if (report.is_full) {
-    forget_load(from);
-  }
-  for (const auto& load : report.loads) {
-    auto& entries = loads_.by_server[load.server];
-    if (load.in_flight == 0) {
-      entries.erase(std::string(from));
-    } else {
-      entries.insert_or_assign(std::string(from), load.in_flight);
-    }
-    loads_.changed.insert(load.server);
-  }
-  for (const auto& note : report.failures) {
-    loads_.failures.push_back(note);
-    loads_.failures.back().reporter = from;
-  }
-}
-
-/// One message for all entries that report here: each knows its own part of the sums.
-void control_core::flush_loads() {
-  if (loads_.changed.empty() && loads_.failures.empty()) {
-    return;
-  }
-  load_report out;
-  for (const auto& server : loads_.changed) {
-    const auto it = loads_.by_server.find(server);
-    std::uint32_t n = 0;
-    if (it != loads_.by_server.end()) {
-      for (const auto& [entry, in_flight] : it->second) {
-        n += in_flight;
-      }
-      if (it->second.empty()) {
-        loads_.by_server.erase(it);
-      }
-    }
-    out.loads.push_back({server, n});
-  }
-  out.failures = std::exchange(loads_.failures, {});
-  loads_.changed.clear();
-  const auto body = peer::pack(out);
-  for (const auto& [id, at] : loads_.heard) {
-    hooks_.send(id, message_kind::load_total, body);
-  }
-}
-
-/// An entry instance that reports elsewhere by now, or not at all.
-void control_core::forget_load(std::string_view id) {
-  for (auto& [server, entries] : loads_.by_server) {
-    const auto it = entries.find(std::string(id));
-    if (it != entries.end()) {
-      entries.erase(it);
-      loads_.changed.insert(server);
-    }
-  }
-}
-
 void control_core::tick(base::time_point now) {
   take_document();
   check_shares(now);
--- /dev/null
+++ b/src/fleet/control_relay.cpp
@@ -0,0 +1,68 @@
+#include <utility>
+
+#include "kingcupshunt/fleet/control_core.h"
+
+namespace kingcupshunt::fleet {
+
+using peer::message_kind;
+
+void control_core::on_pulse(std::string_view from, const load_report& report,
+                            base::time_point now) {
+  loads_.heard.insert_or_assign(std::string(from), now);
+  if (report.is_full) {
+    forget_load(from);
+  }
+  for (const auto& load : report.loads) {
+    auto& entries = loads_.by_server[load.server];
+    if (load.in_flight == 0) {
+      entries.erase(std::string(from));
+    } else {
+      entries.insert_or_assign(std::string(from), load.in_flight);
+    }
+    loads_.changed.insert(load.server);
+  }
+  for (const auto& note : report.failures) {
+    loads_.failures.push_back(note);
+    loads_.failures.back().reporter = from;
+  }
+}
+
+/// One message for all entries that report here: each knows its own part of the sums.
+void control_core::flush_loads() {
+  if (loads_.changed.empty() && loads_.failures.empty()) {
+    return;
+  }
+  load_report out;
+  for (const auto& server : loads_.changed) {
+    const auto it = loads_.by_server.find(server);
+    std::uint32_t n = 0;
+    if (it != loads_.by_server.end()) {
+      for (const auto& [entry, in_flight] : it->second) {
+        n += in_flight;
+      }
+      if (it->second.empty()) {
+        loads_.by_server.erase(it);
+      }
+    }
+    out.loads.push_back({server, n});
+  }
+  out.failures = std::exchange(loads_.failures, {});
+  loads_.changed.clear();
+  const auto body = peer::pack(out);
+  for (const auto& [id, at] : loads_.heard) {
+    hooks_.send(id, message_kind::load_total, body);
+  }
+}
+
+/// An entry instance that reports elsewhere by now, or not at all.
+void control_core::forget_load(std::string_view id) {
+  for (auto& [server, entries] : loads_.by_server) {
+    const auto it = entries.find(std::string(id));
+    if (it != entries.end()) {
+      entries.erase(it);
+      loads_.changed.insert(server);
+    }
+  }
+}
+
+} // namespace kingcupshunt::fleet
--- /dev/null
+++ b/src/fleet/control_voters.cpp
@@ -0,0 +1,81 @@
+#include <algorithm>
+
+#include "kingcupshunt/fleet/control_core.h"
+
+namespace kingcupshunt::fleet {
+
+using peer::message_kind;
+
+namespace {
+
+constexpr base::milliseconds join_interval{500}; // between two requests to be taken in
+constexpr base::seconds join_memory{2};          // a request to be taken in counts this long
+constexpr std::size_t least_voters = 3;          // none is removed below this number
+
+} // namespace
+
+/// Whoever hears no leader asks to be taken in: a new instance, one that was removed while it was
+/// away, and one that knows former voters only.
+void control_core::keep_voters(base::time_point now) {
+  auto& replica = log_->log();
+  for (const auto& v : replica.voters().voters) {
+    add_control(v.id);
+  }
+  for (const auto& id : replica.voters().joining) {
+    add_control(id);
+  }
+  if (replica.hears_leader(now)) {
+    in_touch_at_ = now;
+  } else if (now >= join_at_) {
+    join_at_ = now + join_interval;
+    const auto body = peer::pack(control_join{settings_.store});
+    for (const auto& id : controls_) {
+      hooks_.send(id, message_kind::control_join, body);
+    }
+  }
+  std::erase_if(joins_, [&](const auto& j) { return now - j.second > join_memory; });
+  if (!replica.may_change_voters_now()) {
+    return;
+  }
+  for (const auto& [id, at] : joins_) {
+    const auto& voters = replica.voters();
+    const bool is_known =
+        voters.find(id) != nullptr || std::ranges::find(voters.joining, id) != voters.joining.end();
+    if (!is_known && replica.add_voter(id, now)) {
+      log("control_joins", id);
+      return;
+    }
+  }
+  remove_lost_voter(now);
+}
+
+/// An even number of voters bears no more losses than the odd number below it, so that a voter lost
+/// from an even number goes soon, and from an odd number only after a time that repairs rarely
+/// take.
+void control_core::remove_lost_voter(base::time_point now) {
+  auto& replica = log_->log();
+  const auto& voters = replica.voters();
+  const auto limit =
+      voters.voters.size() % 2 == 0 ? settings_.voter_timeout_even : settings_.voter_timeout_odd;
+  if (voters.voters.size() <= least_voters) {
+    return;
+  }
+  for (const auto& v : voters.voters) {
+    const auto heard = replica.last_heard(v.id);
+    if (heard && now - *heard > limit) {
+      log("control_removed", v.id);
+      (void)replica.remove_voter(v.id, now); // tried again with the next tick
+      return;
+    }
+  }
+  for (const auto& id : voters.joining) {
+    const auto heard = replica.last_heard(id);
+    if (heard && now - *heard > limit) {
+      log("control_join_given_up", id);
+      (void)replica.remove_voter(id, now);
+      return;
+    }
+  }
+}
+
+} // namespace kingcupshunt::fleet
--- a/src/fleet/entry_link.cpp
+++ b/src/fleet/entry_link.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "kingcupshunt/base/rendezvous.h"
+#include "kingcupshunt/peer/handle.h"
 
 namespace kingcupshunt::fleet {
 
@@ -100,24 +101,15 @@
   }
 }
 
-template <class T, class F>
-static bool handle(std::string_view body, F&& f) {
-  auto m = peer::unpack<T>(body);
-  if (m) {
-    f(*m);
-  }
-  return m.has_value();
-}
-
 void entry_link::receive(std::string_view from, message_kind kind, std::string_view body,
                          base::time_point now) {
   bool is_ok = false;
   switch (kind) {
   case message_kind::entry_answer:
-    is_ok = handle<entry_answer>(body, [&](const auto& m) { on_answer(from, m, now); });
+    is_ok = peer::handle<entry_answer>(body, [&](const auto& m) { on_answer(from, m, now); });
     break;
   case message_kind::table_push:
-    is_ok = handle<table_part>(body, [&](const auto& m) {
+    is_ok = peer::handle<table_part>(body, [&](const auto& m) {
       const auto it = controls_.find(from);
       if (it != controls_.end()) {
         take_table(it->second, m, now);
@@ -125,10 +117,10 @@
     });
     break;
   case message_kind::commit_notice:
-    is_ok = handle<commit_notice>(body, [&](const auto& m) { fetch(from, m.document, now); });
+    is_ok = peer::handle<commit_notice>(body, [&](const auto& m) { fetch(from, m.document, now); });
     break;
   case message_kind::document_content:
-    is_ok = handle<document_content>(body, [&](const auto& m) { on_content(m); });
+    is_ok = peer::handle<document_content>(body, [&](const auto& m) { on_content(m); });
     break;
   default:
     break;
