Send requests of divided routes to their parts in every wiring; apply the bound on bodies

Cause (read of the diff): a configuration folder with a divided route left the fleet of equal instances without a service for it; the configured bound on bodies and the slack of the retry budget were read and not used. Change: config::part_at serves both wirings; the entry refuses longer bodies with 413; the slack is gone from the settings.

--- a/include/kingcupshunt/fleet/document_log.h
+++ b/include/kingcupshunt/fleet/document_log.h
@@ -50,7 +50,8 @@
 
   /// Calls `done(true)` once the document or a higher version is in force for good, `done(false)`
   /// when that can't be told. Only the leader accepts; on others `done(false)` follows at once.
-  void propose(versioned_document document, std::function<void(bool)> done, base::time_point now);
+  void propose(const versioned_document& document, std::function<void(bool)> done,
+               base::time_point now);
 
   /// Calls `done` with the newest document, or null when this instance can't be sure of it.
   void read(std::function<void(const versioned_document*)> done, base::time_point now);
--- a/include/kingcupshunt/settings/role_settings.h
+++ b/include/kingcupshunt/settings/role_settings.h
@@ -23,8 +23,6 @@
   base::duration stop_grace = base::seconds(6);            ///< from the request to stop to a kill
   base::duration address_lifetime = base::milliseconds(1500); ///< of an answer to callers
   double retry_share = 0.2;                                   ///< further tries for each request
-  double retry_slack = 50; ///< further tries of a service in a window
-  base::duration retry_window = base::seconds(10);
 };
 
 /// Settings of one process that plays a single role: entry or control.
--- a/src/fleet/document_log.cpp
+++ b/src/fleet/document_log.cpp
@@ -28,7 +28,7 @@
   return out;
 }
 
-void document_log::propose(versioned_document document, std::function<void(bool)> done,
+void document_log::propose(const versioned_document& document, std::function<void(bool)> done,
                            base::time_point now) {
   if (document.version <= current_.version) {
     done(true); // what is applied here is committed
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "kingcupshunt/base/hash.h"
+#include "kingcupshunt/config/route_parts.h"
 #include "kingcupshunt/observe/event_log.h"
 
 namespace kingcupshunt::node {
@@ -102,13 +103,6 @@
 }
 
 const config::route_part* entry_traffic::choose_part(const config::route& route) {
-  double total = 0;
-  for (const auto& part : route.parts) {
-    total += part.weight;
-  }
-  if (total <= 0) {
-    return nullptr;
-  }
   auto it = parts_.find(route.name);
   if (it == parts_.end()) {
     it = parts_.emplace(route.name, part_counter{0, rng_.unit()}).first;
@@ -116,14 +110,7 @@
   // Multiples of the golden ratio spread evenly, so that short runs keep close to the weights.
   const double at =
       std::fmod(static_cast<double>(++it->second.n) / std::numbers::phi + it->second.offset, 1.0);
-  double sum = 0;
-  for (const auto& part : route.parts) {
-    sum += part.weight / total;
-    if (at < sum) {
-      return &part;
-    }
-  }
-  return &route.parts.back();
+  return config::part_at(route, at);
 }
 
 proxy::decided<proxy::authorized_request>
@@ -142,6 +129,10 @@
     return not_run(503, "stale_configuration", "no contact with a majority of control instances",
                    lease_retry_after);
   }
+  const auto limits = configuration.entry_limits();
+  if (limits && head.content_length.value_or(0) > limits->body_bytes) {
+    return not_run(413, "body_too_large", "the body is larger than the configuration allows");
+  }
   if (!out.route) {
     return not_run(404, "no_route", "no route matches this request");
   }
--- a/src/node/traffic.h
+++ b/src/node/traffic.h
@@ -13,6 +13,7 @@
 #include "kingcupshunt/admission/hedging.h"
 #include "kingcupshunt/admission/retry_policy.h"
 #include "kingcupshunt/balance/balancer.h"
+#include "kingcupshunt/base/rng.h"
 #include "kingcupshunt/health/registry.h"
 #include "kingcupshunt/health/reporter.h"
 #include "kingcupshunt/health/service_owner.h"
@@ -96,6 +97,7 @@
   runtime rt_;
   fleet_state& fleet_;
   prober prober_;
+  base::rng random_{rt_.seed + 9}; ///< of the choice between the parts of a route
   std::unique_ptr<health::registry> registry_;
   std::unique_ptr<health::reporter> reporter_;
   std::unique_ptr<health::service_owner> service_owner_;
--- a/src/node/traffic_hooks.cpp
+++ b/src/node/traffic_hooks.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "kingcupshunt/base/hash.h"
+#include "kingcupshunt/config/route_parts.h"
 #include "kingcupshunt/settings/process_settings.h"
 #include "traffic.h"
 
@@ -133,7 +134,11 @@
   if (!out.route) {
     return not_run(404, "no_route", "no route matches this request");
   }
-  out.service = configuration.find_service(out.route->service);
+  const auto* part = config::part_at(*out.route, random_.unit());
+  out.service = configuration.find_service(part != nullptr ? part->service : out.route->service);
+  if (!out.service) {
+    return not_run(503, "no_service", "the route leads to no service");
+  }
   const auto timeout = out.route->timeout.count() > 0 ? out.route->timeout : out.service->timeout;
   out.deadline = now + timeout;
   out.turn_started = std::make_shared<base::time_point>(now);
