--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -137,7 +137,7 @@
   readiness = std::make_unique<control::http_server>(
       runtime.io, control::http_server_settings{s.readiness.address, s.readiness.port},
       [this](const control::http_request& request,
-             std::function<void(control::http_response)> done) {
+             const std::function<void(control::http_response)>& done) {
         if (request.path != hooks.readiness_path) {
           done(control::error_response(404, "not_found", "only the readiness path is served"));
         } else if (is_ready()) {
