--- a/src/node/role_runtime.cpp
+++ b/src/node/role_runtime.cpp
@@ -47,7 +47,8 @@
   if (settings.metrics.port != 0) {
     metrics_server_ = std::make_unique<control::http_server>(
         io, control::http_server_settings{settings.metrics.address, settings.metrics.port},
-        [this](const control::http_request&, std::function<void(control::http_response)> done) {
+        [this](const control::http_request&,
+               const std::function<void(control::http_response)>& done) {
           done({200, "text/plain; version=0.0.4", metrics.serialize(), {}});
         });
   }
