--- a/tests/balance/server_board_test.cpp
+++ b/tests/balance/server_board_test.cpp
@@ -139,3 +139,24 @@
     CHECK(f.begin(++request, false, now + base::seconds(2)) != hung);
   }
 }
+
+TEST_CASE("a service with records of resets on many servers still uses four in five of them") {
+  board_fixture f(7);
+  auto now = start;
+  std::uint64_t request = 0;
+  fleet::load_report failures;
+  for (const auto* id : {"s0", "s1", "s2"}) {
+    for (int i = 0; i < 5; ++i) {
+      failures.failures.push_back({id, fleet::failure_kind::reset, 0, ""});
+    }
+  }
+  f.board.take_total(failures, now);
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 80; ++i) { // 40 requests a second, none of which may be repeated
+    now += base::milliseconds(25);
+    const auto id = f.begin(++request, false, now);
+    ++chosen[id];
+    f.board.end(id, request, attempt(attempt_end::ok), now);
+  }
+  CHECK(chosen.size() >= 6);
+}
