--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -57,7 +57,7 @@
   base::duration calm_firm_idle = base::milliseconds(4500);
   /// A service is calm below this share of requests that fail or are refused. The users look at the
   /// floor from a tenth on.
-  double calm_share = 0.06;
+  double calm_share = 0.08;
   base::duration calm_memory = base::seconds(3);        ///< time constant of that share
   base::duration urgent_idle = base::milliseconds(350); ///< more still, for the most urgent ones
   /// After a scout's success at a doubtful server, until the next one.
@@ -131,6 +131,8 @@
   /// Forgets the load of other instances, when another relay is going to tell it, of all instances
   /// or of those in this data centre.
   void change_relay(bool is_near);
+  /// Instances whose load is told here, this one included.
+  void set_instances(double n) noexcept { instances_ = n; }
   /// A request for the service was refused before a server was chosen.
   void note_refused(std::string_view service, base::time_point now);
   /// What changed here since the last call, for the others.
@@ -152,6 +154,7 @@
   };
   struct running {
     base::time_point since{};
+    bool is_repeatable = false;
     bool is_late = false;
   };
   struct server {
@@ -165,28 +168,27 @@
     spell_record history;
     double mean_seconds = 0; ///< of whole answers, 0: none yet
     base::time_point answered_at{};
-    base::time_point used_at{}; ///< last request of any instance, as far as known
-    base::time_point due_at{};  ///< when the next one is due for the sake of the floor
+    bool was_used = false;     ///< by any instance, as far as known
+    base::time_point due_at{}; ///< when the next one is due for the sake of the floor
   };
   struct service_state {
     std::vector<server*> servers; ///< nodes of servers_, which do not move
     double mean_seconds = 0;
-    double failures = 0; ///< of all instances, fading; as of `counted_at`
-    double served = 0;   ///< here, fading
-    double refused = 0;  ///< here, fading
+    double lost = 0;    ///< failed for good at all instances, fading; as of `counted_at`
+    double served = 0;  ///< here, fading
+    double refused = 0; ///< here, fading
     base::time_point counted_at{};
   };
 
   static void decay(spell_record& r, base::duration memory, base::time_point now);
-  void add_failure(server& s, fleet::failure_kind kind, double power, base::time_point now);
+  void add_failure(server& s, const fleet::failure_note& note, double power, base::time_point now);
   double failure_chance(const server& s, base::time_point now) const;
   double slowness(const server& s, const service_state& of, base::time_point now) const;
   double cost(const server& s, const service_state& of, bool is_repeatable,
               base::time_point now) const;
   static std::uint32_t in_flight(const server& s) noexcept;
   static bool is_usable(const server& s, base::time_point now) noexcept;
-  void note_failure(server& s, fleet::failure_kind kind, std::uint64_t fingerprint,
-                    base::time_point now);
+  void note_failure(server& s, fleet::failure_note note, base::time_point now);
   double odds_of(fleet::failure_kind kind) const noexcept;
   bool is_doubtful(const server& s, base::time_point now) const;
   struct room {
@@ -195,8 +197,9 @@
   };
   room room_of(std::string_view service, base::time_point now) const;
   void note_use(server& s, base::time_point now);
+  void delay_due(server& s, base::time_point now);
   void fade(service_state& of, base::time_point now) const;
-  bool is_calm(const service_state& of, double in_flight, base::time_point now) const;
+  bool is_calm(const service_state& of, base::time_point now) const;
   server* find_due(const service_state& of, const board_request& request, base::time_point now);
 
   board_settings settings_;
@@ -204,6 +207,7 @@
   std::map<std::string, server, std::less<>> servers_;
   std::map<std::string, service_state, std::less<>> services_;
   std::vector<fleet::failure_note> failures_;
+  double instances_ = 1;
   bool is_relay_near_ = false; ///< load of other data centres is not known
 };
 
--- a/include/kingcupshunt/balance/spell_belief.h
+++ b/include/kingcupshunt/balance/spell_belief.h
@@ -6,7 +6,7 @@
 
 /// What is known of servers that fail for seconds at a time while their health checks succeed.
 struct spell_settings {
-  double usual_share = 0.05; ///< of its time that a server without evidence is taken to fail in
+  double usual_share = 0.10; ///< of its time that a server without evidence is taken to fail in
   base::duration memory = base::seconds(6); ///< time constant in which evidence fades
   double failure_share = 0.8;               ///< of the requests during a spell
   /// How much more probable an outcome is during a spell than outside of one.
--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -150,6 +150,9 @@
   std::map<std::string, known_entry, std::less<>> entries_;
   std::set<std::string, std::less<>> controls_;
   std::deque<past_document> documents_; ///< newest last
+  /// Texts of the newest document by the version that they are a difference to, 0: whole. All
+  /// entries ask for the same ones at once.
+  std::map<std::uint64_t, std::string> newest_texts_;
   std::optional<versioned_document> unparsed_;
   std::map<std::uint64_t, pending_share> shares_;
   std::uint64_t next_call_ = 0;
--- a/include/kingcupshunt/fleet/messages.h
+++ b/include/kingcupshunt/fleet/messages.h
@@ -125,8 +125,10 @@
   failure_kind kind = failure_kind::reset;
   std::uint64_t fingerprint = 0; ///< of the request, 0: not known
   std::string reporter;          ///< set by the relay, so that nobody counts its own twice
+  bool is_lost = true;           ///< the request may not be repeated
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("s", server), MSGPACK_NVP("k", kind),
-                     MSGPACK_NVP("f", fingerprint), MSGPACK_NVP("r", reporter))
+                     MSGPACK_NVP("f", fingerprint), MSGPACK_NVP("r", reporter),
+                     MSGPACK_NVP("l", is_lost))
 };
 
 struct server_load {
--- a/src/balance/server_board.cpp
+++ b/src/balance/server_board.cpp
@@ -48,7 +48,8 @@
   }
   s.record = record;
   if (is_new) {
-    note_use(s, now);
+    s.was_used = false;
+    delay_due(s, now);
   }
   s.usable_until = record.is_restored ? now + settings_.restored_use : base::time_point::max();
   if (is_new) {
@@ -86,15 +87,15 @@
   r.at = now;
 }
 
-void server_board::add_failure(server& s, fleet::failure_kind kind, double power,
+void server_board::add_failure(server& s, const fleet::failure_note& note, double power,
                                base::time_point now) {
   if (const auto of = services_.find(s.record.service); of != services_.end()) {
     fade(of->second, now);
-    of->second.failures += 1;
+    of->second.lost += note.is_lost ? 1 : 0;
   }
   const bool was_doubtful = is_doubtful(s, now);
-  s.belief.note(std::pow(odds_of(kind), power), settings_.spells, now);
-  if (kind == fleet::failure_kind::reset && !was_doubtful && is_doubtful(s, now)) {
+  s.belief.note(std::pow(odds_of(note.kind), power), settings_.spells, now);
+  if (note.kind == fleet::failure_kind::reset && !was_doubtful && is_doubtful(s, now)) {
     decay(s.history, settings_.history, now);
     s.history.spells += 1;
   }
@@ -140,7 +141,11 @@
 }
 
 void server_board::note_use(server& s, base::time_point now) {
-  s.used_at = now;
+  s.was_used = true;
+  delay_due(s, now);
+}
+
+void server_board::delay_due(server& s, base::time_point now) {
   const auto spread = base::to_seconds(settings_.greatest_idle - settings_.least_idle);
   s.due_at = now + settings_.least_idle + base::from_seconds(spread * rng_.unit());
 }
@@ -151,21 +156,20 @@
   }
   const double factor =
       std::exp(-base::to_seconds(now - of.counted_at) / base::to_seconds(settings_.calm_memory));
-  of.failures *= factor;
+  of.lost *= factor;
   of.served *= factor;
   of.refused *= factor;
   of.counted_at = now;
 }
 
-/// Failures are known of all instances, answers only of this one: those of all follow from the
-/// requests in flight and the time that one takes.
-bool server_board::is_calm(const service_state& of, double in_flight, base::time_point now) const {
+/// Lost requests are known of all instances, answers and refusals only of this one. Failures of
+/// scouts are no loss.
+bool server_board::is_calm(const service_state& of, base::time_point now) const {
   auto c = of;
   fade(c, now);
-  const double failing = c.failures / base::to_seconds(settings_.calm_memory);
-  const double served = c.mean_seconds > 0 ? in_flight / c.mean_seconds : 0;
   const double refused = c.refused / std::max(1.0, c.refused + c.served);
-  return failing <= settings_.calm_share * (failing + served) && refused <= settings_.calm_share;
+  return c.lost <= settings_.calm_share * (c.lost + c.served * instances_) &&
+         refused <= settings_.calm_share;
 }
 
 /// A server that nobody uses, when a request is due there. Doubtful servers and those with a record
@@ -177,7 +181,6 @@
   const auto extra = request.is_urgent ? settings_.urgent_idle : base::duration{};
   std::size_t usable = 0;
   std::size_t idle = 0;
-  std::size_t busy = 0;
   server* best = nullptr;
   double best_cost = 0;
   for (auto* it : of.servers) {
@@ -188,7 +191,6 @@
       continue;
     }
     ++usable;
-    busy += in_flight(s);
     if (in_flight(s) > 0 || now < s.due_at + extra) {
       continue;
     }
@@ -205,13 +207,15 @@
   if (best == nullptr || request.is_repeatable) {
     return best;
   }
-  const bool is_new = best->answered_at == base::time_point{};
-  const bool is_loss_allowed = is_new || !is_calm(of, static_cast<double>(busy), now);
-  const auto firm = is_loss_allowed ? settings_.firm_idle : settings_.calm_firm_idle;
+  if (!best->was_used) {
+    return now >= best->due_at + extra + settings_.firm_idle ? best : nullptr;
+  }
+  if (is_calm(of, now)) {
+    return now >= best->due_at + extra + settings_.calm_firm_idle ? best : nullptr;
+  }
   const auto in_use = static_cast<double>(usable - idle);
-  const bool is_wanted =
-      !is_loss_allowed || is_new || in_use < settings_.used_share * static_cast<double>(usable);
-  return is_wanted && now >= best->due_at + extra + firm ? best : nullptr;
+  const bool is_wanted = in_use < settings_.used_share * static_cast<double>(usable);
+  return is_wanted && now >= best->due_at + extra + settings_.firm_idle ? best : nullptr;
 }
 
 base::result<fleet::server_record, board_error>
@@ -247,7 +251,7 @@
   if (best == nullptr) {
     return is_busy ? board_error::all_busy : board_error::all_tried;
   }
-  best->own[request.serial] = {now, false};
+  best->own[request.serial] = {now, request.is_repeatable, false};
   note_use(*best, now);
   return best->record;
 }
@@ -264,10 +268,10 @@
   return settings_.spells.reset_odds;
 }
 
-void server_board::note_failure(server& s, fleet::failure_kind kind, std::uint64_t fingerprint,
-                                base::time_point now) {
-  add_failure(s, kind, 1, now);
-  failures_.push_back({s.record.id, kind, fingerprint, {}});
+void server_board::note_failure(server& s, fleet::failure_note note, base::time_point now) {
+  note.server = s.record.id;
+  add_failure(s, note, 1, now);
+  failures_.push_back(std::move(note));
 }
 
 void server_board::end(std::string_view id, std::uint64_t request, const health::attempt& a,
@@ -279,6 +283,7 @@
   auto& s = it->second;
   const auto run = s.own.find(request);
   const bool was_late = run != s.own.end() && run->second.is_late;
+  const bool is_lost = run == s.own.end() || !run->second.is_repeatable;
   if (run != s.own.end()) {
     s.own.erase(run);
   }
@@ -291,7 +296,7 @@
   if (const auto kind = kind_of(a.end)) {
     const bool is_known = was_late && *kind == fleet::failure_kind::late;
     if (!is_known) {
-      note_failure(s, *kind, a.fingerprint, now);
+      note_failure(s, {"", *kind, a.fingerprint, "", is_lost}, now);
     }
     return;
   }
@@ -382,7 +387,7 @@
   for (const auto& note : total.failures) {
     const auto it = servers_.find(note.server);
     if (it != servers_.end()) {
-      add_failure(it->second, note.kind, settings_.spells.remote_power, now);
+      add_failure(it->second, note, settings_.spells.remote_power, now);
       note_use(it->second, now);
     }
   }
@@ -438,7 +443,8 @@
     for (auto& [request, run] : s.own) {
       if (!run.is_late && now - run.since > limit) {
         run.is_late = true;
-        note_failure(s, fleet::failure_kind::late, 0, now);
+        // It may still be answered.
+        note_failure(s, {"", fleet::failure_kind::late, 0, "", false}, now);
       }
     }
   }
--- a/src/consensus/replica_append.cpp
+++ b/src/consensus/replica_append.cpp
@@ -221,6 +221,7 @@
     uncommitted_bytes_ -= std::min(uncommitted_bytes_, log_.at(i).payload.size());
   }
   commit_ = held;
+  heartbeat_at_ = now; // the others learn of it with the next tick
   apply_committed(now);
 }
 
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -69,6 +69,7 @@
     return;
   }
   documents_.push_back({document.version, std::move(parsed.value())});
+  newest_texts_.clear();
   if (documents_.size() > kept_documents) {
     documents_.pop_front();
   }
@@ -253,12 +254,14 @@
   document_content out;
   out.applied = log_->log().applied_index();
   out.version = newest.version;
-  if (fetch.held != 0 && base != documents_.end()) {
-    out.base = fetch.held;
-    out.text = config::make_delta(base->content, newest.content).dump();
-  } else {
-    out.text = newest.content.dump();
-  }
+  out.base = fetch.held != 0 && base != documents_.end() ? fetch.held : 0;
+  auto& text = newest_texts_[out.base];
+  if (text.empty()) {
+    const bool is_whole = out.base == 0;
+    text =
+        is_whole ? newest.content.dump() : config::make_delta(base->content, newest.content).dump();
+  }
+  out.text = text;
   hooks_.send(from, message_kind::document_content, peer::pack(out));
 }
 
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -23,7 +23,10 @@
 /// A lookup that waits this many usual times is sent a second time.
 constexpr double hedge_factor = 2.5;
 constexpr base::milliseconds least_hedge{150};
-constexpr base::milliseconds lease_retry_after{500};   // until the next answers of the controls
+constexpr base::milliseconds lease_retry_after{500}; // until the next answers of the controls
+/// From the start of a process until it serves when all instances start at once.
+constexpr base::milliseconds usual_start{700};
+constexpr base::milliseconds least_start_retry_after{250};
 constexpr base::milliseconds crowded_retry_after{400}; // about two usual request times
 constexpr base::seconds suspect_retry_after{30};
 constexpr double log_rate = 40;   // lines about requests each second
@@ -123,7 +126,9 @@
 entry_traffic::authorize(const proxy::request_head& head) {
   const auto now = base::clock::now();
   if (!link_.has_document()) {
-    return not_run(503, "no_configuration", "no configuration is known yet", lease_retry_after);
+    const auto left = std::chrono::duration_cast<base::milliseconds>(started_ + usual_start - now);
+    return not_run(503, "no_configuration", "no configuration is known yet",
+                   std::max(left, least_start_retry_after));
   }
   const bool is_fresh = link_.is_fresh();
   const auto& configuration = link_.configuration();
@@ -204,16 +209,16 @@
           return;
         }
         const auto& r = result.error();
-        const auto now = base::clock::now();
+        const auto refused_at = base::clock::now();
         if (r.reason == rates::refusal_reason::over_rate) {
-          board_.note_refused(request.service->name, now);
+          board_.note_refused(request.service->name, refused_at);
           done(not_run(429, "over_rate", "the workspace has used its rate and burst",
                        r.retry_after));
-        } else if (take_local(*request.workspace, now)) {
+        } else if (take_local(*request.workspace, refused_at)) {
           runtime_.metrics.count("rate_local_total", rates::to_string(r.reason));
           enter_gate(request, done);
         } else {
-          board_.note_refused(request.service->name, now);
+          board_.note_refused(request.service->name, refused_at);
           done(not_run(429, rates::to_string(r.reason),
                        "the owner of the workspace's rate is away and the local share is used"));
         }
@@ -400,6 +405,7 @@
 void entry_traffic::send_report(base::time_point now) {
   const auto relay = link_.relay(now);
   const bool is_near = link_.is_relay_near(relay);
+  board_.set_instances(link_.entry_count());
   if (relay != relay_ || is_near != is_relay_near_) {
     relay_ = relay;
     is_relay_near_ = is_near;
--- a/src/node/entry_traffic.h
+++ b/src/node/entry_traffic.h
@@ -76,6 +76,7 @@
   std::map<std::string, admission::service_gate, std::less<>> gates_;
   std::map<std::string, local_bucket, std::less<>> local_;
   std::map<std::string, part_counter, std::less<>> parts_;
+  base::time_point started_ = base::clock::now();
   std::string relay_;
   bool is_relay_near_ = false; ///< it knows the load of this data centre only
   base::time_point full_report_at_{};
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -21,6 +21,7 @@
 struct key_in_use {
   std::string key;
   std::string workspace;
+  bool is_withdrawn = false;
 };
 
 /// What callers need to know; changed by the operator while they run.
@@ -32,6 +33,7 @@
   std::map<std::string, std::string> names; ///< entry's own address to its name in the ledger
   base::milliseconds pause{150};            ///< mean time between the requests of a caller
   base::milliseconds patience{2500};
+  double withdrawn_share = 0.1; ///< requests for which a withdrawn key will do
   bool is_stopped = false;
 };
 
@@ -48,6 +50,7 @@
   boost::asio::awaitable<void> run();
   boost::asio::awaitable<void> resolve();
   boost::asio::awaitable<void> send_one();
+  key_in_use choose_key();
   seen_answer judge(const std::string& id, const std::optional<http_response>& answer) const;
 
   boost::asio::io_context& io_;
--- a/tests/soak/injector.cpp
+++ b/tests/soak/injector.cpp
@@ -22,6 +22,9 @@
 constexpr base::milliseconds poll{20};
 constexpr base::milliseconds all_down{700};
 constexpr base::milliseconds wait_for_others{100};
+/// Callers meet connections that went silent for longer than the fault lasts: one after the other,
+/// each until its patience ends.
+constexpr base::seconds silent_use{12};
 
 } // namespace
 
@@ -39,7 +42,12 @@
     asio::co_spawn(
         io_,
         [this, f]() -> asio::awaitable<void> {
-          co_await apply(f);
+          try {
+            co_await apply(f);
+          } catch (const std::exception& e) {
+            // The run goes on without this fault, but it is not the run that the seed names.
+            facts_.note_harness_failure(std::string(to_string(f.kind)) + ": " + e.what());
+          }
           --running_;
         },
         asio::detached);
@@ -207,6 +215,9 @@
   harm_link(f, link);
   co_await sleep_for(f.lasts);
   link.set_state({});
+  if (f.kind == fault_kind::link_silence || f.kind == fault_kind::link_cut) {
+    co_await sleep_for(silent_use);
+  }
   if (is_control) {
     co_await sleep_for(catch_up);
     is_control_away_ = false;
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -31,6 +31,8 @@
     return "true_refusals";
   case promise::withdrawn_keys:
     return "withdrawn_keys";
+  case promise::keys_in_force:
+    return "keys_in_force";
   case promise::rates:
     return "rates";
   case promise::leaving_servers:
@@ -43,6 +45,8 @@
     return "planned_stops";
   case promise::time_limits:
     return "time_limits";
+  case promise::harness:
+    return "harness";
   case promise::recovery:
     return "recovery";
   }
@@ -121,6 +125,7 @@
       report(promise::right_answer, id + " got a success that no server gave it");
     }
   }
+  denied_in_force_ += is_denied_in_force(f) ? 1 : 0;
   const auto stop = stops_.find(f.request.entry);
   const bool is_cut = answer.status == 0 && f.was_served && stop != stops_.end() &&
                       f.request.at >= stop->second - bounds_.calm &&
@@ -130,6 +135,22 @@
   }
 }
 
+void ledger::note_issued(const std::string& key, base::time_point acked) {
+  issued_.try_emplace(key, acked);
+}
+
+void ledger::note_withdrawing(const std::string& key) {
+  withdrawing_.insert(key);
+}
+
+/// A key that no order has withdrawn and that has been in force for long enough.
+bool ledger::is_denied_in_force(const fact& f) const {
+  const bool is_denial = f.answer.status == 401 || f.answer.status == 403 || f.answer.status == 404;
+  const auto issued = issued_.find(f.request.key);
+  return is_denial && issued != issued_.end() && !withdrawing_.contains(f.request.key) &&
+         f.request.at > issued->second + bounds_.issue;
+}
+
 void ledger::note_withdrawn(const std::string& key, base::time_point acked) {
   withdrawn_.try_emplace(key, acked);
 }
@@ -158,6 +179,10 @@
   report(promise::planned_stops, instance + " did not end within its grace time");
 }
 
+void ledger::note_harness_failure(const std::string& what) {
+  report(promise::harness, what);
+}
+
 void ledger::note_recovery(std::size_t served, std::size_t sent) {
   constexpr double least_share = 0.9; // nothing is wrong any more, and the load is low
   if (sent == 0 || static_cast<double>(served) < least_share * static_cast<double>(sent)) {
@@ -252,6 +277,12 @@
 }
 
 void ledger::finish() {
+  const auto allowed = static_cast<double>(bounds_.wrongful_slack) +
+                       bounds_.wrongful_share * static_cast<double>(requests_.size());
+  if (static_cast<double>(denied_in_force_) > allowed) {
+    report(promise::keys_in_force,
+           std::to_string(denied_in_force_) + " requests with a key in force were denied");
+  }
   check_refusals();
   check_rates();
   check_time_limits();
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -21,12 +21,14 @@
   at_most_once,         ///< a request that may not be repeated runs once
   true_refusals,        ///< what was refused as "not run" never runs
   withdrawn_keys,       ///< a withdrawn key stops working
+  keys_in_force,        ///< a key that is in force is accepted
   rates,                ///< a workspace gets its rate and burst at most
   leaving_servers,      ///< a server that leaves gets nothing new
   newest_configuration, ///< an acknowledged configuration is read back
   valid_configuration,  ///< an invalid configuration is refused
   planned_stops,        ///< a planned stop cuts no request and ends in time
   time_limits,          ///< a request has a final answer at its route's time limit
+  harness,              ///< the soak could do what its plan says
   recovery              ///< callers are served again soon after the last fault
 };
 
@@ -45,6 +47,9 @@
   base::milliseconds rate_window{5000};     ///< over which a workspace's requests are counted
   double rate_over = 0.1;                   ///< allowed beyond rate and burst
   double rate_slack = 20;                   ///< requests allowed beyond that
+  base::milliseconds issue{2000};           ///< from the acknowledgement until a key works
+  double wrongful_share = 0.002;            ///< of the requests that may be denied all the same
+  std::size_t wrongful_slack = 5;           ///< and so many more
   base::milliseconds time_limit{2000};      ///< of the routes
   base::milliseconds time_limit_slack{500}; ///< until the final answer
 };
@@ -80,6 +85,9 @@
   void note_served(const std::string& id);
   void note_answer(const std::string& id, const seen_answer& answer);
 
+  void note_issued(const std::string& key, base::time_point acked);
+  /// An order to withdraw the key is sent; from then on it may be refused.
+  void note_withdrawing(const std::string& key);
   void note_withdrawn(const std::string& key, base::time_point acked);
   void note_leaving(const std::string& server, base::time_point acked);
   void note_accepted(std::uint64_t version);
@@ -88,6 +96,8 @@
   void note_read(std::uint64_t version, std::uint64_t accepted);
   void note_invalid_accepted(const std::string& what);
   void note_slow_stop(const std::string& instance);
+  /// The soak itself could not do something; counts as a failed run.
+  void note_harness_failure(const std::string& what);
   void note_recovery(std::size_t served, std::size_t sent);
 
   /// An entry instance, its connections or the control instances are disturbed until `end_trouble`.
@@ -120,6 +130,7 @@
 
   void report(promise p, std::string detail);
   bool is_calm(const std::string& instance, base::time_point from, base::time_point to) const;
+  bool is_denied_in_force(const fact& f) const;
   void check_refusals();
   void check_rates();
   void check_time_limits();
@@ -127,7 +138,10 @@
   ledger_bounds bounds_;
   std::map<std::string, fact, std::less<>> requests_;
   std::map<std::string, std::pair<double, double>, std::less<>> rates_;
+  std::map<std::string, base::time_point, std::less<>> issued_;
+  std::set<std::string, std::less<>> withdrawing_;
   std::map<std::string, base::time_point, std::less<>> withdrawn_;
+  std::size_t denied_in_force_ = 0;
   std::map<std::string, base::time_point, std::less<>> leaving_;
   std::map<std::string, std::deque<span>, std::less<>> troubles_;
   std::map<std::string, base::time_point, std::less<>> stops_;
--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -122,3 +122,22 @@
   l.note_recovery(8, 10);
   CHECK(has(l, promise::recovery));
 }
+
+TEST_CASE("a key that is in force must be accepted, one that is being withdrawn need not be") {
+  ledger l;
+  l.note_issued("key", start - milliseconds(3000));
+  for (int i = 0; i < 6; ++i) {
+    const auto id = "r" + std::to_string(i);
+    l.note_sent(request(id));
+    l.note_answer(id, {401, false, start});
+  }
+  l.note_withdrawing("key");
+  for (int i = 6; i < 30; ++i) {
+    const auto id = "r" + std::to_string(i);
+    l.note_sent(request(id));
+    l.note_answer(id, {401, false, start});
+  }
+  l.finish();
+  CHECK(has(l, promise::keys_in_force)); // six of thirty: more than 5 and one in 500
+  CHECK(l.violations().size() == 1);
+}
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -39,6 +39,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // Sockets of the test stay open as long as any process has them.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     if (posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), variables.data()) != 0) {
       pid_ = -1;
     }
