--- a/include/kingcupshunt/proxy/hooks.h
+++ b/include/kingcupshunt/proxy/hooks.h
@@ -41,6 +41,10 @@
 /// Decisions that the entry asks for. All are called on the instance's event loop; those with a
 /// `done` argument call it exactly once, at once or later, on the same loop.
 struct hooks {
+  /// Waits until the instance can decide about requests, or will not be able to soon. Called before
+  /// `authorize`. May be empty: an instance that has just started refuses at once.
+  std::function<void(std::function<void(decided<void>)> done)> wait_start;
+
   /// Checks key, route and freshness. Called for every request, not for every connection.
   std::function<decided<authorized_request>(const request_head&)> authorize;
 
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -83,6 +83,9 @@
 
 proxy::hooks entry_traffic::make_hooks() {
   proxy::hooks out;
+  out.wait_start = [this](std::function<void(proxy::decided<void>)> done) {
+    start_gate_.enter([done = std::move(done)] { done(base::success()); }, base::clock::now());
+  };
   out.authorize = [this](const proxy::request_head& head) { return authorize(head); };
   out.admit = [this](const proxy::request_head&, const proxy::authorized_request& request,
                      std::function<void(proxy::decided<void>)> done) {
@@ -126,7 +129,8 @@
 entry_traffic::authorize(const proxy::request_head& head) {
   const auto now = base::clock::now();
   if (!link_.has_document()) {
-    const auto left = std::chrono::duration_cast<base::milliseconds>(started_ + usual_start - now);
+    const auto left =
+        std::chrono::duration_cast<base::milliseconds>(usual_start - start_gate_.age(now));
     return not_run(503, "no_configuration", "no configuration is known yet",
                    std::max(left, least_start_retry_after));
   }
@@ -427,6 +431,10 @@
 }
 
 void entry_traffic::tick(base::time_point now) {
+  if (!start_gate_.is_open() && link_.has_document() && link_.is_fresh()) {
+    start_gate_.open();
+  }
+  start_gate_.tick(now);
   rates_.tick(now);
   board_.tick(now);
   send_report(now);
--- a/src/node/entry_traffic.h
+++ b/src/node/entry_traffic.h
@@ -11,6 +11,7 @@
 #include "kingcupshunt/admission/crash_marks.h"
 #include "kingcupshunt/admission/retry_budget.h"
 #include "kingcupshunt/admission/service_gate.h"
+#include "kingcupshunt/admission/start_gate.h"
 #include "kingcupshunt/balance/server_board.h"
 #include "kingcupshunt/fleet/entry_link.h"
 #include "kingcupshunt/proxy/hooks.h"
@@ -76,7 +77,7 @@
   std::map<std::string, admission::service_gate, std::less<>> gates_;
   std::map<std::string, local_bucket, std::less<>> local_;
   std::map<std::string, part_counter, std::less<>> parts_;
-  base::time_point started_ = base::clock::now();
+  admission::start_gate start_gate_{{}, base::clock::now()};
   std::string relay_;
   bool is_relay_near_ = false; ///< it knows the load of this data centre only
   base::time_point full_report_at_{};
--- a/src/proxy/request_run.cpp
+++ b/src/proxy/request_run.cpp
@@ -46,6 +46,9 @@
     }
     co_return;
   }
+  if (!refused) {
+    refused = co_await wait_start();
+  }
   if (!refused) {
     refused = prepare_body();
   }
@@ -136,6 +139,36 @@
   }
 }
 
+/// The body is not read yet: its bounds depend on the route.
+awaitable<std::optional<refusal>> request_run::wait_start() {
+  if (!context_.hook.wait_start) {
+    co_return std::nullopt;
+  }
+  auto waiting = std::make_shared<pending<void>>();
+  waiting->wake = wake_;
+  context_.hook.wait_start([waiting](decided<void> result) {
+    if (!waiting->is_abandoned) {
+      waiting->result.emplace(std::move(result));
+      waiting->wake->notify();
+    }
+  });
+  if (waiting->result) {
+    co_return std::nullopt;
+  }
+  auth_.deadline =
+      started_ + std::min<base::duration>(context_.settings.total_timeout,
+                                          head_.patience.value_or(base::milliseconds::max()));
+  const bool is_watched = caller_->parser->is_done() && caller_->stream->buffered().empty();
+  if (is_watched) {
+    start_watch(caller_);
+  }
+  const auto refused = co_await wait_for(waiting);
+  if (is_watched) {
+    co_await stop_watch(*caller_);
+  }
+  co_return refused;
+}
+
 std::optional<refusal> request_run::prepare_body() {
   auto authorized = context_.hook.authorize(head_);
   if (!authorized) {
--- a/src/proxy/request_run.h
+++ b/src/proxy/request_run.h
@@ -33,6 +33,7 @@
   awaitable<void> try_upstreams();
   std::optional<refusal> prepare();
   void read_own_fields(const request_header& head);
+  awaitable<std::optional<refusal>> wait_start();
   std::optional<refusal> prepare_body();
   awaitable<bool> answer_locally();
   awaitable<std::optional<refusal>> gate();
--- a/tests/proxy/entry_answers_test.cpp
+++ b/tests/proxy/entry_answers_test.cpp
@@ -300,3 +300,35 @@
   REQUIRE(eventually([&] { return f.log().reports.size() == 1; }));
   CHECK(f.log().reports[0].end == attempt_end::connect_failed);
 }
+
+TEST_CASE("a request that arrives while the instance starts waits, unless its caller leaves") {
+  backend b(always(ok_answer()));
+  fixture f({b.id()});
+  std::vector<std::function<void(decided<void>)>> waiting;
+  f.decisions.wait_start = [&](std::function<void(decided<void>)> done) {
+    const std::lock_guard lock(f.mutex);
+    waiting.push_back(std::move(done));
+  };
+  f.start();
+  const auto count = [&] {
+    const std::lock_guard lock(f.mutex);
+    return waiting.size();
+  };
+  wire stays(f.port());
+  stays.send("POST /a HTTP/1.1\r\nHost: shop\r\nContent-Length: 2\r\n\r\nhi");
+  REQUIRE(eventually([&] { return count() == 1; }));
+  wire leaves(f.port());
+  leaves.send(get_a);
+  REQUIRE(eventually([&] { return count() == 2; }));
+  leaves.close();
+  CHECK(eventually(
+      [&] { return f.counter("kingcupshunt_refusals_total{reason=\"caller_gone\"}") == 1; }));
+  CHECK(b.requests() == 0);
+  f.on_loop([&] {
+    for (const auto& done : waiting) {
+      done(base::success());
+    }
+  });
+  CHECK(stays.read_answer().status == 200);
+  CHECK(b.requests() == 1);
+}
