Count what a rate's owner granted against the local share; keep popular lookups from crash suspicion

Cause: fault soak. Ruled out: a wrong count of the soak (ids and times of the requests agree with the entries' logs). Change: rates::local_share; crash_marks asks for eight servers where the request was answered within 30 s. Tests: rates/local_share_test, "a lookup that many callers send"; they were written with the change and not run against the code before.

--- a/src/admission/crash_marks.cpp
+++ b/src/admission/crash_marks.cpp
@@ -1,6 +1,7 @@
 #include "kingcupshunt/admission/crash_marks.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace kingcupshunt::admission {
 
@@ -27,13 +28,26 @@
   m.at = now;
 }
 
-void crash_marks::note_answered(std::uint64_t fingerprint) {
+void crash_marks::note_answered(std::uint64_t fingerprint, base::time_point now) {
   marks_.erase(fingerprint);
+  if (now >= period_end_) {
+    answered_before_ = std::exchange(answered_, {});
+    period_end_ = now + settings_.answer_memory;
+  }
+  if (answered_.size() < settings_.max_requests) {
+    answered_.insert(fingerprint);
+  }
+}
+
+std::size_t crash_marks::limit_of(std::uint64_t fingerprint) const {
+  const bool was_answered =
+      answered_.contains(fingerprint) || answered_before_.contains(fingerprint);
+  return was_answered ? settings_.servers_after_answer : settings_.servers;
 }
 
 bool crash_marks::is_suspect(std::uint64_t fingerprint, base::time_point now) const {
   const auto it = marks_.find(fingerprint);
-  return it != marks_.end() && it->second.servers.size() >= settings_.servers &&
+  return it != marks_.end() && it->second.servers.size() >= limit_of(fingerprint) &&
          !is_due(it->second, now);
 }
 
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -18,8 +18,6 @@
 namespace {
 
 constexpr base::seconds full_report_interval{1}; // relays forget an entry after 2.5 s
-/// Share of the workspace's burst that an instance may use on its own, at least.
-constexpr double least_local_burst = 3;
 /// A lookup that waits this many usual times is sent a second time.
 constexpr double hedge_factor = 2.5;
 constexpr base::milliseconds least_hedge{150};
@@ -179,24 +177,6 @@
   return out;
 }
 
-/// While the owner is away, every instance spends an equal share of the rate.
-bool entry_traffic::take_local(const config::workspace& workspace, base::time_point now) {
-  const double n = link_.entry_count();
-  const double burst = std::max(workspace.burst / n, least_local_burst);
-  auto it = local_.find(workspace.name);
-  if (it == local_.end()) {
-    it = local_.emplace(workspace.name, local_bucket{burst, now}).first;
-  }
-  auto& b = it->second;
-  b.tokens = std::min(burst, b.tokens + workspace.rate / n * base::to_seconds(now - b.at));
-  b.at = now;
-  if (b.tokens < 1) {
-    return false;
-  }
-  b.tokens -= 1;
-  return true;
-}
-
 void entry_traffic::admit(const proxy::authorized_request& request,
                           std::function<void(proxy::decided<void>)> done) {
   const auto now = base::clock::now();
@@ -208,21 +188,24 @@
   rates_.acquire(
       request.workspace->name, now, request.deadline,
       [this, request, done = std::move(done)](rates::acquired result) {
+        const auto decided_at = base::clock::now();
+        const auto& workspace = *request.workspace;
+        const rates::limit whole{workspace.rate, workspace.burst};
         if (result) {
+          local_share_.note_granted(workspace.name, whole, link_.entry_count(), decided_at);
           enter_gate(request, done);
           return;
         }
         const auto& r = result.error();
-        const auto refused_at = base::clock::now();
         if (r.reason == rates::refusal_reason::over_rate) {
-          board_.note_refused(request.service->name, refused_at);
+          board_.note_refused(request.service->name, decided_at);
           done(not_run(429, "over_rate", "the workspace has used its rate and burst",
                        r.retry_after));
-        } else if (take_local(*request.workspace, refused_at)) {
+        } else if (local_share_.take(workspace.name, whole, link_.entry_count(), decided_at)) {
           runtime_.metrics.count("rate_local_total", rates::to_string(r.reason));
           enter_gate(request, done);
         } else {
-          board_.note_refused(request.service->name, refused_at);
+          board_.note_refused(request.service->name, decided_at);
           done(not_run(429, rates::to_string(r.reason),
                        "the owner of the workspace's rate is away and the local share is used"));
         }
@@ -323,7 +306,7 @@
     break;
   case health::attempt_end::ok:
   case health::attempt_end::error_status:
-    crashes_.note_answered(a.fingerprint);
+    crashes_.note_answered(a.fingerprint, now);
     break;
   default:
     break;
--- a/src/node/entry_traffic.h
+++ b/src/node/entry_traffic.h
@@ -16,6 +16,7 @@
 #include "kingcupshunt/fleet/entry_link.h"
 #include "kingcupshunt/proxy/hooks.h"
 #include "kingcupshunt/rates/client.h"
+#include "kingcupshunt/rates/local_share.h"
 #include "kingcupshunt/settings/role_settings.h"
 #include "role_runtime.h"
 
@@ -38,11 +39,6 @@
   balance::server_board& board() noexcept { return board_; }
 
 private:
-  /// Bounds a workspace while the owner of its rate does not answer.
-  struct local_bucket {
-    double tokens = 0;
-    base::time_point at{};
-  };
   struct part_counter {
     std::uint64_t n = 0;
     double offset = 0; ///< of the low-discrepancy sequence, so that instances differ
@@ -54,7 +50,6 @@
              std::function<void(proxy::decided<void>)> done);
   void enter_gate(const proxy::authorized_request& request,
                   std::function<void(proxy::decided<void>)> done);
-  bool take_local(const config::workspace& workspace, base::time_point now);
   proxy::decided<proxy::upstream_target> pick(const proxy::authorized_request& request,
                                               std::uint64_t fingerprint,
                                               const std::vector<std::string>& tried);
@@ -75,7 +70,7 @@
   admission::retry_budget retries_;
   admission::crash_marks crashes_;
   std::map<std::string, admission::service_gate, std::less<>> gates_;
-  std::map<std::string, local_bucket, std::less<>> local_;
+  rates::local_share local_share_; ///< while the owner of a rate does not answer
   std::map<std::string, part_counter, std::less<>> parts_;
   admission::start_gate start_gate_{{}, base::clock::now()};
   std::string relay_;
--- a/tests/admission/crash_suspects_test.cpp
+++ b/tests/admission/crash_suspects_test.cpp
@@ -11,6 +11,22 @@
 
 const base::time_point start = base::time_point{} + base::seconds(100);
 
+// The core of the only instance of a fleet.
+struct lone_instance {
+  lone_instance() {
+    settings.self = "i0";
+    core = admission::crash_suspects(settings, {[](auto, auto, auto) {}, {}, {}, {}, {}});
+    core.set_view({1, {{"i0", "", "", "", true}}}, start);
+  }
+  auto count_answer() {
+    return [this] { ++answered; };
+  }
+
+  admission::crash_suspects_settings settings;
+  admission::crash_suspects core{settings, {}};
+  int answered = 0;
+};
+
 void check_random_run(std::uint64_t seed, bool has_kill) {
   base::rng rng(seed);
   support::crash_options o;
@@ -220,36 +236,30 @@
 }
 
 TEST_CASE("a check that began before a cut says nothing about it") {
-  admission::crash_suspects_settings settings;
-  settings.self = "i0";
-  admission::crash_suspects core(settings, {[](auto, auto, auto) {}, {}, {}, {}, {}});
-  core.set_view({1, {{"i0", "", "", "", true}}}, start);
-  int answered = 0;
-  const auto done = [&] { ++answered; };
+  lone_instance run;
+  auto& core = run.core;
+  const auto done = run.count_answer();
   CHECK(core.begin(5, "s1", start));
   CHECK(core.begin(6, "s1", start));
   core.end(5, "s1", health::attempt_end::closed_unanswered, start, done);
   core.end(6, "s1", health::attempt_end::closed_unanswered, start + milliseconds(20), done);
   core.server_alive("s1", start, start + milliseconds(21));
-  CHECK(answered == 1);
+  CHECK(run.answered == 1);
   core.server_died("s1", 77, start + milliseconds(40));
-  CHECK(answered == 1);
+  CHECK(run.answered == 1);
   CHECK(core.table().crashes(6) == 1);
   CHECK(core.table().crashes(5) == 0);
 }
 
 TEST_CASE("a process that hears late of a server's end still blames the request") {
-  admission::crash_suspects_settings settings;
-  settings.self = "i0";
-  admission::crash_suspects core(settings, {[](auto, auto, auto) {}, {}, {}, {}, {}});
-  core.set_view({1, {{"i0", "", "", "", true}}}, start);
-  int answered = 0;
-  const auto done = [&] { ++answered; };
+  lone_instance run;
+  auto& core = run.core;
+  const auto done = run.count_answer();
   CHECK(core.begin(5, "s1", start));
   core.end(5, "s1", health::attempt_end::closed_unanswered, start, done);
   // The timer runs before the handler of the check, 150 ms late.
   core.tick(start + milliseconds(150));
-  CHECK(answered == 0);
+  CHECK(run.answered == 0);
   core.server_died("s1", 77, start + milliseconds(151));
   CHECK(core.table().crashes(5) == 1);
   CHECK(!core.begin(5, "s2", start + milliseconds(400)));
@@ -257,7 +267,7 @@
   // A verdict after all time allowed does not stop the request any more, but marks it.
   CHECK(core.begin(8, "s3", start));
   core.end(8, "s3", health::attempt_end::closed_unanswered, start, done);
-  core.tick(start + settings.verdict);
-  core.server_died("s3", 78, start + settings.verdict + milliseconds(1));
+  core.tick(start + run.settings.verdict);
+  core.server_died("s3", 78, start + run.settings.verdict + milliseconds(1));
   CHECK(core.table().crashes(8) == 1);
 }
--- a/tests/admission/service_gate_test.cpp
+++ b/tests/admission/service_gate_test.cpp
@@ -78,10 +78,31 @@
   CHECK(marks.is_suspect(1, start));
   CHECK(!marks.is_suspect(2, start));
   CHECK(!marks.is_suspect(1, start + base::seconds(121)));
-  marks.note_answered(1);
+  marks.note_answered(1, start);
   CHECK(!marks.is_suspect(1, start));
   for (const auto* id : {"a", "b", "c"}) {
     marks.note_ended(0, id, start); // no fingerprint
   }
   CHECK(!marks.is_suspect(0, start));
 }
+
+TEST_CASE("a lookup that many callers send is no suspect when servers end one after the other") {
+  crash_marks marks;
+  marks.note_answered(1, start);
+  for (const auto* id : {"a", "b", "c", "d"}) {
+    marks.note_ended(1, id, start + base::seconds(1));
+  }
+  CHECK(!marks.is_suspect(1, start + base::seconds(1)));
+  for (const auto* id : {"e", "f", "g", "h"}) {
+    marks.note_ended(1, id, start + base::seconds(2));
+  }
+  CHECK(marks.is_suspect(1, start + base::seconds(2))); // it has turned bad
+  // An answer of long ago says nothing.
+  marks.note_answered(2, start);
+  marks.note_answered(3, start + base::seconds(31));
+  marks.note_answered(3, start + base::seconds(62));
+  for (const auto* id : {"a", "b", "c"}) {
+    marks.note_ended(2, id, start + base::seconds(62));
+  }
+  CHECK(marks.is_suspect(2, start + base::seconds(62)));
+}
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -137,44 +137,32 @@
   ::prlimit(it.process->id(), RLIMIT_FSIZE, &limit, nullptr);
 }
 
-std::vector<instance*> deployment::entries() {
+std::vector<instance*> deployment::instances_of(bool is_control) {
   std::vector<instance*> out;
   for (auto& it : instances_) {
-    if (!it->is_control) {
+    if (it->is_control == is_control) {
       out.push_back(it.get());
     }
   }
   return out;
 }
 
-std::vector<instance*> deployment::controls() {
-  std::vector<instance*> out;
-  for (auto& it : instances_) {
+std::vector<std::string> deployment::addresses_of(std::string wire::node_settings::*service) const {
+  std::vector<std::string> out;
+  for (const auto& it : instances_) {
     if (it->is_control) {
-      out.push_back(it.get());
+      out.push_back(it->settings.*service);
     }
   }
   return out;
 }
 
 std::vector<std::string> deployment::control_addresses() const {
-  std::vector<std::string> out;
-  for (const auto& it : instances_) {
-    if (it->is_control) {
-      out.push_back(it->settings.control);
-    }
-  }
-  return out;
+  return addresses_of(&wire::node_settings::control);
 }
 
 std::vector<std::string> deployment::directory_addresses() const {
-  std::vector<std::string> out;
-  for (const auto& it : instances_) {
-    if (it->is_control) {
-      out.push_back(it->settings.directory);
-    }
-  }
-  return out;
+  return addresses_of(&wire::node_settings::directory);
 }
 
 } // namespace kingcupshunt::soak
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -58,14 +58,16 @@
   /// Writes fail from now on, or work again.
   void set_disk_refusing(const instance& it, bool is_refusing) const;
 
-  std::vector<instance*> entries();
-  std::vector<instance*> controls();
+  std::vector<instance*> entries() { return instances_of(false); }
+  std::vector<instance*> controls() { return instances_of(true); }
   std::vector<std::string> control_addresses() const;
   std::vector<std::string> directory_addresses() const;
 
 private:
   std::string address(int net, std::size_t i) const;
   void add(std::size_t i, bool is_control);
+  std::vector<instance*> instances_of(bool is_control);
+  std::vector<std::string> addresses_of(std::string wire::node_settings::*service) const;
 
   boost::asio::io_context& io_;
   deployment_settings settings_;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -3,6 +3,7 @@
 
 #include <filesystem>
 #include <iostream>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -39,6 +40,29 @@
   std::filesystem::path folder;
 };
 
+/// Second part of the loopback addresses of this run, bound for its time so that no other run takes
+/// the same.
+class network_claim {
+public:
+  explicit network_claim(asio::io_context& io) {
+    constexpr std::uint32_t networks = 200;
+    constexpr std::uint32_t first = 20;
+    for (std::uint32_t i = 0; i < networks && !claim_; ++i) {
+      number_ = first + (static_cast<std::uint32_t>(getpid()) + i) % networks;
+      try {
+        claim_.emplace(io, endpoint_of("127." + std::to_string(number_) + ".9.9:7660"));
+      } catch (const boost::system::system_error&) {
+        continue; // another run has it
+      }
+    }
+  }
+  std::uint32_t number() const noexcept { return number_; }
+
+private:
+  std::uint32_t number_ = 0;
+  std::optional<asio::ip::tcp::acceptor> claim_;
+};
+
 wire::configuration first_configuration() {
   wire::configuration c;
   c.version = 1;
@@ -53,9 +77,8 @@
 class soak_run {
 public:
   soak_run(asio::io_context& io, const run_settings& s)
-      : io_(io), settings_(s),
-        all_(io, {KINGCUPSHUNT_PROGRAM, s.folder, static_cast<std::uint32_t>(20 + getpid() % 200),
-                  s.controls, s.entries}),
+      : io_(io), settings_(s), network_(io),
+        all_(io, {KINGCUPSHUNT_PROGRAM, s.folder, network_.number(), s.controls, s.entries}),
         injector_(io, all_, servers_, facts_) {}
 
   /// Returns whether the run could be made.
@@ -92,7 +115,7 @@
 private:
   void make_servers() {
     for (std::size_t i = 0; i < settings_.servers; ++i) {
-      const auto network = "127." + std::to_string(20 + getpid() % 200) + ".";
+      const auto network = "127." + std::to_string(network_.number()) + ".";
       const auto last = "." + std::to_string(i + 1) + ":9000";
       server_settings s;
       s.service = i % 3 == 0 ? "pay" : "fit";
@@ -168,6 +191,7 @@
 
   asio::io_context& io_;
   run_settings settings_;
+  network_claim network_;
   ledger facts_;
   deployment all_;
   server_list servers_;
