Claim a loopback network for each run of the process tests

Cause: three of 46 runs of the crash test beside each other failed since two runs had the same addresses ("cannot listen on the address" in the kept logs of runs 15, 29 and 30; networks followed from the process id). Change: testing::network_claim, bound for the run, shared with the soak. Conclusion: no fault of the product.

--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -3,7 +3,6 @@
 
 #include <filesystem>
 #include <iostream>
-#include <optional>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -18,6 +17,7 @@
 #include "ledger.h"
 #include "operator.h"
 #include "servers.h"
+#include "support/network_claim.h"
 
 namespace kingcupshunt::soak {
 namespace {
@@ -40,29 +40,6 @@
   std::filesystem::path folder;
 };
 
-/// Second part of the loopback addresses of this run, bound for its time so that no other run takes
-/// the same.
-class network_claim {
-public:
-  explicit network_claim(asio::io_context& io) {
-    constexpr std::uint32_t networks = 200;
-    constexpr std::uint32_t first = 20;
-    for (std::uint32_t i = 0; i < networks && !claim_; ++i) {
-      number_ = first + (static_cast<std::uint32_t>(getpid()) + i) % networks;
-      try {
-        claim_.emplace(io, endpoint_of("127." + std::to_string(number_) + ".9.9:7660"));
-      } catch (const boost::system::system_error&) {
-        continue; // another run has it
-      }
-    }
-  }
-  std::uint32_t number() const noexcept { return number_; }
-
-private:
-  std::uint32_t number_ = 0;
-  std::optional<asio::ip::tcp::acceptor> claim_;
-};
-
 wire::configuration first_configuration() {
   wire::configuration c;
   c.version = 1;
@@ -77,7 +54,7 @@
 class soak_run {
 public:
   soak_run(asio::io_context& io, const run_settings& s)
-      : io_(io), settings_(s), network_(io),
+      : io_(io), settings_(s),
         all_(io, {KINGCUPSHUNT_PROGRAM, s.folder, network_.number(), s.controls, s.entries}),
         injector_(io, all_, servers_, facts_) {}
 
@@ -191,7 +168,7 @@
 
   asio::io_context& io_;
   run_settings settings_;
-  network_claim network_;
+  testing::network_claim network_;
   ledger facts_;
   deployment all_;
   server_list servers_;
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -15,6 +15,7 @@
 #include "child_process.h"
 #include "kingcupshunt/auth/key.h"
 #include "kingcupshunt/control/http_client.h"
+#include "network_claim.h"
 
 namespace kingcupshunt::testing {
 
@@ -63,9 +64,8 @@
 
   static std::string id(int i) { return "e" + std::to_string(i); }
   std::string address(int i) const {
-    // Two runs at the same time on one machine must not meet.
-    const auto run = std::to_string(16 + getpid() % 200);
-    return "127." + run + "." + std::to_string(network_) + "." + std::to_string(i);
+    return "127." + std::to_string(claim().number()) + "." + std::to_string(network_) + "." +
+           std::to_string(i);
   }
   std::string entry(int i) const { return address(i) + ":8080"; }
   std::string announce(int i) const { return address(i) + ":8081"; }
@@ -153,6 +153,12 @@
   std::map<int, child_process> processes;
 
 private:
+  /// Two runs at the same time on one machine must not meet.
+  static const network_claim& claim() {
+    static const network_claim it;
+    return it;
+  }
+
   int network_;
 };
 
