--- a/src/proxy/request_run.cpp
+++ b/src/proxy/request_run.cpp
@@ -155,9 +155,10 @@
   if (waiting->result) {
     co_return std::nullopt;
   }
-  auth_.deadline =
-      started_ + std::min<base::duration>(context_.settings.total_timeout,
-                                          head_.patience.value_or(base::milliseconds::max()));
+  auth_.deadline = started_ + context_.settings.total_timeout;
+  if (head_.patience) {
+    auth_.deadline = std::min(auth_.deadline, started_ + *head_.patience);
+  }
   const bool is_watched = caller_->parser->is_done() && caller_->stream->buffered().empty();
   if (is_watched) {
     start_watch(caller_);
