--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -587,6 +587,7 @@
                      {"path", head.path},
                      {"tried", servers},
                      {"held_ms", base::to_ms(now - head.arrival_time)},
+                     {"connection_serial", head.connection_serial},
                      {"ran", proxy::to_string(r.ran)},
                      {"status", r.status},
                      {"reason", r.reason},
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -25,6 +25,7 @@
   /// Marks the caller as disconnected and notifies `wake` and `on_disconnect`.
   void mark_disconnected();
 
+  std::uint64_t requests = 0;   ///< heads that were read
   bool is_disconnected = false; ///< closed by the caller, or aborted
   bool is_aborted = false;      ///< closed by a stop; its requests are cancelled
   bool is_closing = false;      ///< no further request is read
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -88,6 +88,7 @@
   head_.arrival_time = started_;
   head_.method = std::string(head.method_string());
   head_.caller_address = caller_->address;
+  head_.connection_serial = caller_->requests;
   if (auto problem = check_request(head)) {
     return problem;
   }
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -371,9 +371,16 @@
 }
 
 refusal request_handler::refusal_of_failure() const {
-  refusal r = body_failure_ ? *body_failure_
-              : failure_    ? *failure_
-                            : failed(499, "caller_gone", "the caller closed the connection", false);
+  refusal r;
+  if (caller_->is_aborted) {
+    r = failed(502, "cut_by_stop", "the instance stopped before the answer was complete", false);
+  } else if (body_failure_) {
+    r = *body_failure_;
+  } else if (failure_) {
+    r = *failure_;
+  } else {
+    r = failed(499, "caller_gone", "the caller closed the connection", false);
+  }
   if (may_have_run_) {
     r.ran = ran_state::unknown;
   }
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -29,6 +29,7 @@
       break;
     }
     context_->metrics.count("requests_total");
+    ++caller_->requests;
     auto serving = std::make_shared<request_handler>(*context_, caller_);
     co_await serving->serve();
     caller_->stream->release_buffer();
--- a/tests/proxy/stop_test.cpp
+++ b/tests/proxy/stop_test.cpp
@@ -76,6 +76,7 @@
   });
   CHECK(busy.is_closed_by_peer());
   CHECK(eventually([&] { return cut == 1; }));
+  CHECK(f.counter("kingcupshunt_refusals_total{reason=\"cut_by_stop\"}") == 1);
   CHECK(f.log().finished == 1);
   CHECK(f.log().completed.size() == (f.route.is_repeatable ? 0U : 1U));
   open(gate);
