--- a/include/kingcupshunt/proxy/entry_server.h
+++ b/include/kingcupshunt/proxy/entry_server.h
@@ -11,6 +11,7 @@
 #include "kingcupshunt/proxy/entry_settings.h"
 #include "kingcupshunt/proxy/hooks.h"
 #include "kingcupshunt/proxy/request_head.h"
+#include "kingcupshunt/proxy/stop_window.h"
 
 namespace boost::asio {
 class io_context;
@@ -47,9 +48,9 @@
   /// admission control.
   void set_interceptor(interceptor answer);
 
-  /// Disables keep-alive: each further answer closes its connection. New connections are still
-  /// accepted.
-  void close_after_answers();
+  /// Begins a planned stop. Each further answer closes its connection; new connections are still
+  /// accepted until `stop` is called.
+  void begin_stop(const stop_window& window);
 
   /// Closes the idle connections to upstreams, after the network path to them has changed.
   void discard_upstream_connections();
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -199,7 +199,7 @@
   is_leaving = true;
   link.query_now();
   link.tick(now);
-  entry->close_after_answers();
+  entry->begin_stop({now, stop_at});
   stop_timer.expires_at(std::min(
       now + base::from_seconds(base::to_seconds(bounds.address_lifetime) * address_lifetimes),
       stop_at));
--- a/src/proxy/entry_context.h
+++ b/src/proxy/entry_context.h
@@ -29,7 +29,7 @@
   upstream_pool pool;
   interceptor intercept;
   bool is_stopping = false;
-  bool is_keep_alive_disabled = false; ///< each answer closes its connection
+  std::optional<stop_window> stop; ///< set when a planned stop has begun
   std::string id_prefix = base::to_hex(base::random_bytes(8));
   std::uint64_t last_request = 0;
 };
--- a/src/proxy/entry_server.cpp
+++ b/src/proxy/entry_server.cpp
@@ -196,8 +196,8 @@
   impl_->context->intercept = std::move(answer);
 }
 
-void entry_server::close_after_answers() {
-  impl_->context->is_keep_alive_disabled = true;
+void entry_server::begin_stop(const stop_window& window) {
+  impl_->context->stop = window;
 }
 
 void entry_server::discard_upstream_connections() {
--- a/src/proxy/request_answer.cpp
+++ b/src/proxy/request_answer.cpp
@@ -17,9 +17,8 @@
 
 bool request_handler::must_close() const {
   const auto& parser = *caller_->parser;
-  return caller_->is_closing || caller_->has_leftover || context_.is_stopping ||
-         context_.is_keep_alive_disabled || !parser.is_done() || !parser.keep_alive() ||
-         !caller_->stream->buffered().empty();
+  return caller_->is_closing || caller_->has_leftover || context_.is_stopping || context_.stop ||
+         !parser.is_done() || !parser.keep_alive() || !caller_->stream->buffered().empty();
 }
 
 base::time_point request_handler::write_deadline() const {
