Refuse requests that a planned stop leaves no time for

Now a request is sent to a server in the second half of the stop only if its deadline lies before the end. What has not started by then is refused as not run, so that callers go to another entry with nothing to fear. That also covers requests that wait for their turn or for a free server, which were closed without an answer.

Test: proxy, stop_test.cpp.

--- a/include/kingcupshunt/proxy/entry_server.h
+++ b/include/kingcupshunt/proxy/entry_server.h
@@ -49,7 +49,7 @@
   void set_interceptor(interceptor answer);
 
   /// Begins a planned stop. Each further answer closes its connection; new connections are still
-  /// accepted until `stop` is called.
+  /// accepted until `stop` is called. Requests that the window leaves no time for are refused.
   void begin_stop(const stop_window& window);
 
   /// Closes the idle connections to upstreams, after the network path to them has changed.
--- a/include/kingcupshunt/proxy/stop_window.h
+++ b/include/kingcupshunt/proxy/stop_window.h
@@ -8,6 +8,9 @@
 struct stop_window {
   base::time_point begun;
   base::time_point end; ///< connections that are still open are closed
+
+  /// From here on only requests whose deadline is before `end` are sent to a server.
+  base::time_point last_start() const noexcept { return begun + (end - begun) / 2; }
 };
 
 } // namespace kingcupshunt::proxy
--- a/src/proxy/entry_server.cpp
+++ b/src/proxy/entry_server.cpp
@@ -198,6 +198,9 @@
 
 void entry_server::begin_stop(const stop_window& window) {
   impl_->context->stop = window;
+  for (const auto& s : impl_->sessions) {
+    s->wake();
+  }
 }
 
 void entry_server::discard_upstream_connections() {
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -233,9 +233,29 @@
   co_return true;
 }
 
+bool request_handler::may_outlast_stop() const {
+  const auto& stop = context_.stop;
+  return stop && auth_.deadline + context_.settings.answer_grace > stop->end;
+}
+
+/// False when it is too late in a planned stop to send the request to a server.
+bool request_handler::has_time_before_stop() const {
+  return !may_outlast_stop() || base::clock::now() < context_.stop->last_start();
+}
+
+/// The caller need not wait: the other instances are not affected.
+refusal request_handler::refused_by_stop() {
+  auto out = not_run(503, "stopping", "the instance is stopping; send the request to another one");
+  out.retry_after = base::milliseconds(0);
+  return out;
+}
+
 /// Reads the body unless it is streamed, admits the request, prepares the upstream request and
 /// reserves the idempotency key.
 awaitable<std::optional<refusal>> request_handler::prepare_first_try() {
+  if (!has_time_before_stop()) {
+    co_return refused_by_stop();
+  }
   const bool is_read_first = !is_streamed_ && !is_waiting_for_continue_;
   if (is_read_first) {
     // The body is read before a turn is taken, so that a slow caller does not occupy one.
@@ -328,7 +348,8 @@
   }
 }
 
-/// Waits until a hook has completed, the caller has disconnected or the deadline has passed.
+/// Waits until a hook has completed, the caller has disconnected, the deadline has passed or it is
+/// too late in a planned stop to go on.
 template <class Waiting>
 awaitable<std::optional<refusal>> request_handler::wait_for(const Waiting& waiting) {
   while (!waiting->result) {
@@ -340,7 +361,11 @@
       waiting->is_abandoned = true;
       co_return not_run(504, "deadline_exceeded", "the deadline passed before the request ran");
     }
-    co_await wake_->wait_until(auth_.deadline);
+    if (!has_time_before_stop()) {
+      waiting->is_abandoned = true;
+      co_return refused_by_stop();
+    }
+    co_await wake_->wait_until(may_outlast_stop() ? context_.stop->last_start() : auth_.deadline);
   }
   if (!*waiting->result) {
     co_return waiting->result->error();
--- a/src/proxy/request_handler.h
+++ b/src/proxy/request_handler.h
@@ -37,6 +37,9 @@
   std::optional<refusal> prepare_body();
   awaitable<bool> answer_locally();
   awaitable<std::optional<refusal>> prepare_first_try();
+  bool may_outlast_stop() const;
+  bool has_time_before_stop() const;
+  static refusal refused_by_stop();
   awaitable<std::optional<refusal>> admit();
   awaitable<std::optional<refusal>> reserve();
   awaitable<bool> plan_try();
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -90,6 +90,10 @@
 /// Starts the first try. Waits for a free server until the deadline.
 awaitable<bool> request_handler::start_first_try() {
   for (;;) {
+    if (!has_time_before_stop()) {
+      failure_ = refused_by_stop();
+      co_return false;
+    }
     const bool is_planned = co_await plan_try();
     if (!is_planned) {
       co_return false;
@@ -165,7 +169,7 @@
   const bool is_allowed =
       upstream_request_->is_resendable || (was_not_sent && !may_have_run_ && body_bytes_ == 0);
   if (!is_allowed || base::clock::now() >= auth_.deadline || !has_tries_left() ||
-      caller_->is_disconnected) {
+      caller_->is_disconnected || !has_time_before_stop()) {
     co_return false;
   }
   if (!context_.hook.may_retry || !context_.hook.may_retry(auth_, last)) {
@@ -183,7 +187,7 @@
 /// the full ones may have a free slot again. This does not use the retry budget, since it adds no
 /// work to any server, unless the deployment counts refused tries as well.
 awaitable<bool> request_handler::try_after_shed(const health::attempt& last) {
-  if (may_have_run_ || upstream_request_->is_streamed) {
+  if (may_have_run_ || upstream_request_->is_streamed || !has_time_before_stop()) {
     co_return false;
   }
   if (context_.settings.names.is_shed_budgeted) {
@@ -206,7 +210,8 @@
       co_return true;
     }
     const auto next = base::clock::now() + full_server_retry_delay;
-    if (!is_planned || next >= auth_.deadline || caller_->is_disconnected) {
+    if (!is_planned || next >= auth_.deadline || caller_->is_disconnected ||
+        !has_time_before_stop()) {
       failure_ = std::move(before);
       co_return false;
     }
@@ -222,7 +227,8 @@
 void request_handler::start_hedge() {
   hedge_at_.reset();
   const auto failure = failure_;
-  const bool is_allowed = !context_.hook.take_hedge || context_.hook.take_hedge(auth_);
+  const bool is_allowed =
+      has_time_before_stop() && (!context_.hook.take_hedge || context_.hook.take_hedge(auth_));
   if (active_tries_.size() == 1 && is_allowed && start_try()) {
     context_.metrics.count_retry("hedge");
   }
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -41,6 +41,12 @@
   }
 }
 
+void session::wake() {
+  if (caller_->wake) {
+    caller_->wake->notify();
+  }
+}
+
 void session::abort() {
   caller_->is_aborted = true;
   caller_->stream->close();
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -19,6 +19,9 @@
 
   bool is_idle() const noexcept { return is_idle_; }
 
+  /// Lets a waiting request notice that a stop has begun.
+  void wake();
+
   /// Closes the connection at once and cancels the upstream work of its request.
   void abort();
 
--- a/tests/proxy/stop_test.cpp
+++ b/tests/proxy/stop_test.cpp
@@ -95,13 +95,13 @@
 // Guards against a request that is taken late in a planned stop and cut off at its end.
 TEST_CASE("late in a stop, a request that may outlast it is refused as not run") {
   backend b(always(ok_answer()));
-  fixture f({b.id()});
+  fixture f({b.id()}, [](entry_settings& s) { s.names.has_fractional_retry_after = true; });
   f.service.timeout = base::seconds(60);
   f.start();
   f.on_loop([&] { f.server->begin_stop(late_stop()); });
   const auto a = f.get();
   CHECK(a.status == 503);
-  CHECK(a.field("retry-after") == "0");
+  CHECK(a.field("retry-after") == "0.001"); // the shortest that is sent
   CHECK(a.field("connection") == "close");
   CHECK(a.body.find("\"ran\":\"no\"") != std::string::npos);
   CHECK(b.requests() == 0);
