Take an answer of no certain request on a kept connection for no proof

Cause: an answer without the request id, or with ids of two requests, was taken for the answer to the request sent last. A server that wrote an earlier refusal once more without its id made a request that it was running "not run": the request ran at a second server, or its caller was told 503, 429 or 408.

Change: owner_of() sorts an answer: own, of another request (skipped as before), or of no certain request. The last kind fails the try as one that may have run: 502, no second try of such a request, connection closed, counted in upstream_unowned_answers_total. An answer without id is still accepted as the first one on a new connection. Connections that carried a refusal are still kept, since the id tells the answers apart; no new connections to servers that echo it.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "answer_owner.h"
 #include "kingcupshunt/proxy/head_checks.h"
 #include "kingcupshunt/proxy/header_rewrite.h"
 #include "tunnel.h"
@@ -305,7 +306,14 @@
     if (check_answer(answer(), request_->is_head, may_answer_end_with_connection()) != nullptr) {
       co_return false;
     }
-    if (is_mismatched_answer()) {
+    const auto owner = owner_of(answer(), request_->request_id, !was_reused_ && skipped_bytes_ == 0,
+                                context_.settings.names);
+    if (owner == answer_owner::unknown) {
+      // The server may be running the request, so even a refusal is no answer to it.
+      context_.metrics.count("upstream_unowned_answers_total");
+      co_return false;
+    }
+    if (owner == answer_owner::other) {
       skipped_bytes_ += size;
       const bool is_skipped = co_await skip_mismatched_answer();
       if (!is_skipped) {
@@ -314,7 +322,7 @@
       continue;
     }
     if (answer().result_int() >= 200) {
-      if (check_matching_answer() != nullptr) {
+      if (check_success(answer(), context_.settings.names) != nullptr) {
         co_return false;
       }
       end_ = end_of_status();
@@ -334,16 +342,6 @@
   return context_.settings.names.may_answer_end_with_connection && !connection_->is_tunnelled;
 }
 
-/// True for an answer with the id of another request: a late or repeated answer to an earlier one.
-bool exchange::is_mismatched_answer() const {
-  const auto& names = context_.settings.names;
-  if (!names.is_request_id_echoed) {
-    return false;
-  }
-  const auto id = answer()[names.request_id];
-  return !id.empty() && id != request_->request_id;
-}
-
 /// Reads an answer to another request to its end; the matching answer follows on the connection.
 /// Fails beyond the limit, since a server in trouble may send such answers without end.
 awaitable<bool> exchange::skip_mismatched_answer() {
@@ -363,36 +361,11 @@
   co_return skipped_bytes_ <= limit;
 }
 
-/// Returns why a success cannot be used, or nullptr: its request id or signature is missing, or its
-/// body is encoded.
-const char* exchange::check_matching_answer() const {
-  const auto& names = context_.settings.names;
-  const bool is_success = answer().result_int() < 300;
-  if (!is_success) {
-    return nullptr;
-  }
-  if (names.is_request_id_echoed && answer().count(names.request_id) == 0) {
-    return "a success without the request id";
-  }
-  if (!names.signature.empty() &&
-      (answer().count(names.signature) == 0 || answer().count(http::field::content_encoding) > 0)) {
-    return "a success without signature or with an encoded body";
-  }
-  return nullptr;
-}
-
 attempt_end exchange::end_of_status() const {
-  const auto status = answer().result_int();
-  const auto& names = context_.settings.names;
-  const bool is_other_instance = status == 421 && !names.expected_instance.empty();
-  const bool is_shed =
-      names.not_run.empty()
-          ? status == 429 || (status == 503 && answer().count(http::field::retry_after) > 0)
-          : is_other_instance || answer().count(names.not_run) > 0;
-  if (is_shed) {
+  if (is_refusal(answer(), context_.settings.names)) {
     return attempt_end::shed;
   }
-  return status >= 500 ? attempt_end::error_status : attempt_end::ok;
+  return answer().result_int() >= 500 ? attempt_end::error_status : attempt_end::ok;
 }
 
 /// Reads the limit that the answer states for its server. A failure without one says nothing, since
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -86,8 +86,6 @@
   awaitable<void> write_rest();
   awaitable<bool> skip_mismatched_answer();
   bool may_answer_end_with_connection() const;
-  bool is_mismatched_answer() const;
-  const char* check_matching_answer() const;
   base::time_point wait_limit() const;
   awaitable<void> collect();
   bool may_resend() const;
