Keep no connection that carried a refusal where answers echo no ids

Cause: with the project's own names no id tells answers apart. A server that wrote an earlier 503 or 429 once more on the kept connection made the request that it was running "not run"; try_after_shed then sent it again, also to the same server over the same connection.

Change: finish_answer() does not return a connection to the pool after a refusal when ids are not echoed. Cost: one new connection for each refusal, in these deployments only. With echoed ids such connections are kept.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -466,9 +466,13 @@
 
 void exchange::finish_answer() {
   is_whole_ = true;
+  // Without echoed ids, a refusal that the server writes once more would pass for the answer to the
+  // next request on the connection.
+  const bool is_repeat_visible =
+      context_.settings.names.is_request_id_echoed || end_ != attempt_end::shed;
   const bool is_keep_alive = parser_->keep_alive() && answer().version() == 11;
   // The pool closes connections with bytes after the answer, which belong to no request.
-  release(is_keep_alive && is_body_sent_);
+  release(is_keep_alive && is_body_sent_ && is_repeat_visible);
 }
 
 awaitable<bool> exchange::write_body(std::string_view piece, bool is_chunked, bool is_last) {
--- a/tests/proxy/repeated_refusals_test.cpp
+++ b/tests/proxy/repeated_refusals_test.cpp
@@ -151,6 +151,30 @@
   CHECK(full.connections() == 1);
 }
 
+// Guards against running a request twice where answers carry no ids.
+TEST_CASE("without echoed ids, no request follows a refusal on its connection") {
+  for (const std::string status : {"503", "429"}) {
+    CAPTURE(status);
+    const auto refusal =
+        "HTTP/1.1 " + status + " Busy\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n";
+    std::atomic<int> ran{0};
+    backend faulty([&](backend& b, test_connection& c, int connection) {
+      bool is_first = connection == 0;
+      while (b.read_request(c)) {
+        ran += is_first ? 0 : 1;
+        c.send(connection == 0 ? refusal : ok_answer());
+        is_first = false;
+      }
+    });
+    once_only_fixture f({faulty.id()});
+    f.start();
+    test_connection c(f.port());
+    c.send(order("r1"));
+    CHECK(c.read_answer().status == 200);
+    CHECK(ran == 1);
+  }
+}
+
 // Guards against reading a refusal, repeated while the connection was idle, as the next answer.
 TEST_CASE("without echoed ids, a refusal repeated on an idle connection is not read") {
   std::atomic<bool> is_repeated{false};
