--- a/src/node/instance.cpp
+++ b/src/node/instance.cpp
@@ -98,6 +98,7 @@
   membership::self_watch self_watch;
   std::set<std::string, std::less<>> unreachable; ///< peers whose last connection attempt failed
   base::time_point tick_due{};
+  base::time_point stop_at{}; ///< end of a planned stop
   base::time_point next_slow_tick{};
   bool was_ready = false;
 };
@@ -296,6 +297,8 @@
   const auto now = base::clock::now();
   fleet->leave(now);
   check_self(now);
+  stop_at = now + settings.stop_lead + settings.stop_grace;
+  entry->begin_stop({now, stop_at});
   const auto lead_timer = std::make_shared<boost::asio::steady_timer>(io, settings.stop_lead);
   lead_timer->async_wait([this, lead_timer](boost::system::error_code) { close_entry(); });
   signals.async_wait([this](boost::system::error_code ec, int) {
@@ -307,8 +310,7 @@
 
 void instance::impl::close_entry() {
   announce_server->stop();
-  entry->stop(base::clock::now() + settings.stop_grace,
-              [this](std::size_t aborted) { finish_stop(aborted); });
+  entry->stop(stop_at, [this](std::size_t aborted) { finish_stop(aborted); });
 }
 
 void instance::impl::finish_stop(std::size_t aborted) {
