Bound what a heartbeat of another writer can say

Cause: a heartbeat with a host name, port 0 or port 99999, an id of any length with line breaks, a service of megabytes, or a "born" or "seq" near 2^64 was taken as a server. The id stands in the head of each request to the server. A record of more than 1 MiB makes each answer with it too large for a message, so that the entry instances follow the table no more. After a "born" that no server reaches, all heartbeats of the server itself are old ones. The port was cut to 16 bits when the server was picked.

No crash was seen: 100,000 levels of nesting, 1e400 and invalid UTF-8 did no harm before, the parser being iterative; these checks are guards.

Change: fleet::fault_of bounds texts, slots, start and sequence of a record.

--- a/include/kingcupshunt/fleet/server_record.h
+++ b/include/kingcupshunt/fleet/server_record.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include <msgpack.hpp>
 
@@ -19,6 +21,13 @@
 
 namespace kingcupshunt::fleet {
 
+/// Bounds of a record. Another writer may announce servers too, with any values.
+inline constexpr std::size_t max_record_text_bytes = 256; ///< of each text
+inline constexpr std::uint32_t max_server_slots = 10'000;
+/// The year 2100. All later announcements of a server with a greater start would be old ones.
+inline constexpr std::uint64_t max_started_ms = 4'102'444'800'000;
+inline constexpr std::uint64_t max_sequence = std::uint64_t{1} << 53U; ///< exact in JSON
+
 /// Last announcement of a backend server, and the control instance that received it.
 struct server_record {
   std::string id;
@@ -43,4 +52,7 @@
                      MSGPACK_NVP("o", is_restored))
 };
 
+/// Why `record` names no server to use. Empty when it does.
+std::string_view fault_of(const server_record& record) noexcept;
+
 } // namespace kingcupshunt::fleet
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -8,6 +8,7 @@
 #include "kingcupshunt/base/hash.h"
 #include "kingcupshunt/config/route_parts.h"
 #include "kingcupshunt/observe/event_log.h"
+#include "kingcupshunt/settings/process_settings.h"
 
 namespace kingcupshunt::node {
 
@@ -361,10 +362,10 @@
   proxy::upstream_target out;
   out.id = record.id;
   out.instance = record.id;
-  const auto colon = record.address.rfind(':');
-  out.address = record.address.substr(0, colon);
-  out.port = static_cast<std::uint16_t>(std::strtoul(
-      record.address.c_str() + (colon == std::string::npos ? 0 : colon + 1), nullptr, 10));
+  settings::endpoint endpoint;
+  (void)settings::parse_endpoint(record.address, endpoint); // no connection is made to an empty one
+  out.address = std::move(endpoint.address);
+  out.port = endpoint.port;
   return out;
 }
 
