Keep the other records of a list when one can't be read

Cause: one record of another type in the list of a share, an answer, a push or the stored table made the whole message unreadable. Each repetition had it again, so that the receiver stopped following the table. Records that can be read but name no server, such as one without an id or with an unknown state, were used.

Change: a record that can't be read becomes one without an id. Entry and control instances skip and count the records that fault_of refuses, and log the 1st, 2nd, 4th, 8th ... of them.

A record nested deeper than 16 levels still makes its whole message unreadable; only instances with the fleet's secret can send one.

--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -135,6 +135,7 @@
   void on_query(std::string_view from, const entry_ask& query, base::time_point now);
   void apply_pending_document();
   void on_fetch(std::string_view from, const document_fetch& fetch);
+  bool is_sound(const server_record& record);
   void on_share(std::string_view from, const record_share& share, base::time_point now);
   void on_share_ack(std::string_view from, const record_share_ack& ack);
   void on_join(std::string_view from, const control_join& join, base::time_point now);
--- a/include/kingcupshunt/fleet/entry_link.h
+++ b/include/kingcupshunt/fleet/entry_link.h
@@ -95,6 +95,7 @@
   bool is_short_of_tunnels() const;
   void on_answer(std::string_view from, const entry_answer& answer, base::time_point now);
   void on_content(const document_content& content);
+  bool is_sound(const server_record& record);
   void apply_table(control& c, const table_part& part, base::time_point now);
   void fetch(std::string_view from, std::uint64_t version, base::time_point now);
 
--- a/include/kingcupshunt/fleet/server_record.h
+++ b/include/kingcupshunt/fleet/server_record.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <msgpack.hpp>
 
@@ -56,3 +57,31 @@
 std::string_view fault_of(const server_record& record) noexcept;
 
 } // namespace kingcupshunt::fleet
+
+namespace msgpack {
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {
+  namespace adaptor {
+
+  /// A record that can't be read becomes one without an id, so that it takes no other with it.
+  template <>
+  struct convert<std::vector<kingcupshunt::fleet::server_record>> {
+    const msgpack::object& operator()(const msgpack::object& from,
+                                      std::vector<kingcupshunt::fleet::server_record>& to) const {
+      if (from.type != msgpack::type::ARRAY) {
+        throw msgpack::type_error();
+      }
+      to.assign(from.via.array.size, {});
+      for (std::uint32_t i = 0; i < from.via.array.size; ++i) {
+        try {
+          from.via.array.ptr[i].convert(to[i]);
+        } catch (const msgpack::type_error&) {
+          to[i] = {}; // counted by the receiver, as fault_of says
+        }
+      }
+      return from;
+    }
+  };
+
+  } // namespace adaptor
+}
+} // namespace msgpack
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -1,6 +1,7 @@
 #include "kingcupshunt/fleet/control_core.h"
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 #include "kingcupshunt/base/rendezvous.h"
@@ -43,6 +44,7 @@
 }
 
 void control_core::restore(std::vector<server_record> records, base::time_point now) {
+  std::erase_if(records, [&](const server_record& r) { return !is_sound(r); });
   for (auto& r : records) {
     r.is_restored = true;
     (void)table_.merge(std::move(r), now); // the table is empty
@@ -275,11 +277,23 @@
   hooks_.send(from, message_kind::document_content, peer::pack(out));
 }
 
+/// Logs few of the odd records, since a share may be repeated.
+bool control_core::is_sound(const server_record& record) {
+  const auto fault = fault_of(record);
+  if (!fault.empty() && std::has_single_bit(++malformed_)) {
+    log("server_record_refused", fault);
+  }
+  return fault.empty();
+}
+
 void control_core::on_share(std::string_view from, const record_share& share,
                             base::time_point now) {
   add_control(from);
   bool is_urgent = false;
   for (const auto& r : share.records) {
+    if (!is_sound(r)) {
+      continue;
+    }
     const auto merged = table_.merge(r, now);
     is_urgent = is_urgent || (merged == merge_result::changed && r.state != server_state::ready);
   }
--- a/src/fleet/entry_link.cpp
+++ b/src/fleet/entry_link.cpp
@@ -1,6 +1,7 @@
 #include "kingcupshunt/fleet/entry_link.h"
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -189,6 +190,15 @@
   fetch(from, answer.document, now);
 }
 
+/// Logs few of the odd records, since each answer may repeat them.
+bool entry_link::is_sound(const server_record& record) {
+  const auto fault = fault_of(record);
+  if (!fault.empty() && std::has_single_bit(++malformed_) && hooks_.log) {
+    hooks_.log("server_record_refused", fault);
+  }
+  return fault.empty();
+}
+
 /// Ignores changes that leave a gap after the applied position; the next answer repeats them.
 void entry_link::apply_table(control& c, const table_part& part, base::time_point now) {
   if (part.start != c.table_start) {
@@ -203,7 +213,7 @@
   }
   c.table_position = part.to;
   for (const auto& r : part.records) {
-    if (table_.merge(r, now) == merge_result::changed) {
+    if (is_sound(r) && table_.merge(r, now) == merge_result::changed) {
       hooks_.on_server(*table_.find(r.id));
     }
   }
