Answer a request whose handler throws

Cause: an exception of a handler ended the coroutine of its connection without an answer or a log line, and the connection was counted as open for good. After as many as the limit, the server accepted no more.

Evidence: the new test of http_server_test on the code before: the first call gets no answer. No handler of today is known to throw for an odd heartbeat; this is the bound for one that does.

Change: such a request is logged and answered with 500.

--- a/src/control/http_server.cpp
+++ b/src/control/http_server.cpp
@@ -1,5 +1,6 @@
 #include "kingcupshunt/control/http_server.h"
 
+#include <exception>
 #include <optional>
 #include <utility>
 
@@ -59,10 +60,15 @@
   const auto executor = co_await asio::this_coro::executor;
   const auto state = std::make_shared<pending>(executor);
   state->timer.expires_at(asio::steady_timer::time_point::max());
-  handler(request, [state](http_response response) {
-    state->response = std::move(response);
-    state->timer.cancel();
-  });
+  try {
+    handler(request, [state](http_response response) {
+      state->response = std::move(response);
+      state->timer.cancel();
+    });
+  } catch (const std::exception& e) {
+    observe::log_error("handler_failed", {{"path", request.path}, {"error", e.what()}});
+    state->response = error_response(500, "internal", "the request can't be handled");
+  }
   while (!state->response) {
     error_code ec;
     co_await state->timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
--- a/tests/control/http_server_test.cpp
+++ b/tests/control/http_server_test.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <stdexcept>
 #include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -59,3 +60,21 @@
   CHECK(!control::call("127.0.0.9:18742", "GET", "/", "", base::milliseconds(2000)));
   CHECK(!control::call("nowhere", "GET", "/", "", base::milliseconds(2000)));
 }
+
+// Guards against connections that are never given back, until the server accepts no more.
+TEST_CASE("a handler that throws is answered with 500 and gives its connection back") {
+  const running_server running([](const auto& request, auto done) {
+    if (request.path == "/odd") {
+      throw std::runtime_error("odd");
+    }
+    done({200, "text/plain", "fine"});
+  });
+  for (int i = 0; i < 12; ++i) { // more than the server's connections
+    const auto odd = control::call(endpoint, "POST", "/odd", "", base::milliseconds(5000));
+    REQUIRE(odd);
+    CHECK(odd.value().status == 500);
+  }
+  const auto answer = control::call(endpoint, "POST", "/x", "", base::milliseconds(5000));
+  REQUIRE(answer);
+  CHECK(answer.value().status == 200);
+}
