Let no server of an unknown service take an id or address

Cause: a heartbeat for a service that the configuration doesn't name was merged into the table. Stating the id or address of a real server and a later start, it replaced that server, whose own heartbeats were then old ones.

Evidence: the new test of control_core_test on the code before: the entry instance holds the server "s1" with the service "nowhere", and the server "odd", after the next heartbeat of "s1". The second new test, about a service that is new, passed before and is a guard.

A ready server is acknowledged as before; a draining one is not, so that it asks another instance, which may know the service.

--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -115,6 +115,11 @@
     record_share message;
     std::function<void(bool)> done;
   };
+  /// Announcement of a server whose service no known document names.
+  struct waiting_server {
+    server_record record;
+    base::time_point received_at{};
+  };
   struct past_document {
     std::uint64_t version = 0;
     nlohmann::json content;
@@ -140,6 +145,9 @@
   void on_share_ack(std::string_view from, const record_share_ack& ack);
   void on_join(std::string_view from, const control_join& join, base::time_point now);
   void on_pulse(std::string_view from, const load_report& report, base::time_point now);
+  bool is_service_known(const server_record& record) const;
+  void wait_for_service(server_record record, base::time_point now);
+  void place_waiting(base::time_point now);
   void share(const std::string& id, bool is_leaving, std::function<void(bool)> done,
              base::time_point now);
   void push_changes();
@@ -163,6 +171,7 @@
   control_hooks hooks_;
   document_log* log_ = nullptr;
   server_table table_;
+  std::map<std::string, waiting_server, std::less<>> waiting_;
   std::uint64_t pushed_position_ = 0; ///< table position that was pushed to the entries
   std::map<std::string, known_entry, std::less<>> entries_;
   std::set<std::string, std::less<>> controls_;
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -100,6 +100,13 @@
                             base::time_point now) {
   record.home = settings_.self;
   const bool is_leaving = record.state != server_state::ready;
+  apply_pending_document();
+  if (!is_service_known(record)) {
+    wait_for_service(std::move(record), now);
+    done(!is_leaving && has_majority_contact(now));
+    return;
+  }
+  waiting_.erase(record.id);
   const auto id = record.id;
   const auto* before = table_.find(id);
   const bool has_moved = before != nullptr && before->home != settings_.self;
@@ -372,6 +379,7 @@
 
 void control_core::tick(base::time_point now) {
   apply_pending_document();
+  place_waiting(now);
   check_shares(now);
   // With few entries, failures are sent at once, so that entries avoid the server soon; load alone
   // waits for the interval.
--- a/tests/fleet/control_core_test.cpp
+++ b/tests/fleet/control_core_test.cpp
@@ -365,3 +365,49 @@
   REQUIRE(asked.size() == before + 1); // at once
   CHECK(asked.back().needs_tunnels);
 }
+
+// Guards against a record of another writer that takes a real server's address, and with it the
+// server: its later announcements would be those of a former incarnation.
+TEST_CASE("a server of a service that the configuration doesn't name takes no address") {
+  small_fleet f;
+  f.run(base::seconds(3));
+  f.leader().propose(
+      document(1, "fitting"), [](bool) {}, f.now);
+  f.run(base::seconds(1));
+  auto& core = *f.controls.at("c1").core;
+  core.announce(
+      server("s1", 1, server_state::ready), [](bool) {}, f.now);
+  auto odd = server("odd", 1, server_state::ready);
+  odd.service = "nowhere";
+  odd.started_ms = 9;
+  core.announce(
+      odd, [](bool) {}, f.now);
+  odd.id = "s1"; // an id that is in use already
+  core.announce(
+      odd, [](bool) {}, f.now);
+  f.run(base::seconds(1));
+  core.announce(
+      server("s1", 2, server_state::ready), [](bool) {}, f.now);
+  f.run(base::seconds(1));
+  CHECK(f.seen["s1"].state == server_state::ready);
+  CHECK(f.seen["s1"].service == "fitting");
+  CHECK(f.seen.count("odd") == 0);
+}
+
+// Guards against servers that are unknown until their next announcement when a service is new.
+TEST_CASE("a server of a new service is used as soon as the configuration names it") {
+  small_fleet f;
+  f.run(base::seconds(3));
+  f.leader().propose(
+      document(1, "other"), [](bool) {}, f.now);
+  f.run(base::seconds(1));
+  bool is_acknowledged = false;
+  f.controls.at("c1").core->announce(
+      server("s1", 1, server_state::ready), [&](bool is_known) { is_acknowledged = is_known; },
+      f.now);
+  CHECK(is_acknowledged);
+  f.leader().propose(
+      document(2, "fitting"), [](bool) {}, f.now);
+  f.run(base::seconds(1));
+  CHECK(f.seen["s1"].state == server_state::ready);
+}
