Report a reset to reads also when a write has received it

Cause: the system reports a reset of a connection to one operation only. The reactor performs a waiting write before a waiting read, so while a long request was being written the write got connection_reset and the next read saw an orderly end. An answer without a length, which may end with its connection, was then complete: the caller got a 200 with a Content-Length around the part that had arrived.

Change: timed_socket notes a write that fails with connection_reset, and a read that then sees the end of the stream fails with connection_reset. A reset after an orderly end is a broken pipe for the write and leaves the end valid.

--- a/src/proxy/timed_socket.cpp
+++ b/src/proxy/timed_socket.cpp
@@ -95,6 +95,9 @@
   if (n == next_read_) {
     next_read_ = std::min(next_read_ * 2, max_read_bytes);
   }
+  if (ec == asio::error::eof && is_reset_) {
+    ec = asio::error::connection_reset;
+  }
   co_return ec;
 }
 
@@ -108,6 +111,9 @@
                                                      asio::buffer(third)};
   written_ +=
       co_await asio::async_write(socket_, buffers, asio::redirect_error(asio::use_awaitable, ec));
+  // The system reports a reset to one operation only. When this is a write, reads after it would
+  // see an orderly end.
+  is_reset_ = is_reset_ || ec == asio::error::connection_reset;
   co_return ec;
 }
 
--- a/src/proxy/timed_socket.h
+++ b/src/proxy/timed_socket.h
@@ -42,7 +42,8 @@
   /// Connects within the expiry.
   awaitable<error_code> connect(tcp::endpoint to);
 
-  /// Appends at least one byte of received data to the buffer.
+  /// Appends at least one byte of received data to the buffer. Fails with eof only after an orderly
+  /// end of the stream.
   awaitable<error_code> read_some();
 
   /// Writes all buffers and adds the bytes accepted by the operating system to written().
@@ -77,6 +78,7 @@
   std::size_t written_ = 0;
   std::size_t next_read_ = min_read_bytes;
   bool is_timed_out_ = false;
+  bool is_reset_ = false; ///< a write has failed because the peer reset the connection
 };
 
 } // namespace kingcupshunt::proxy
