Take a kept connection that ends after an interim answer as closed, not stale

Cause: an interim answer is not counted as bytes of an answer, so a server that ended a kept connection after it was reported as a stale connection: no evidence against the server, and a repeatable request was sent to it once more outside the retry budget. The interim answer shows that the server had read the request.

Change: after an interim answer the end is closed_unanswered, as on a fresh connection, which also lets the crash checks see it.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -254,7 +254,9 @@
   } else if (has_bytes) {
     end_ = attempt_end::truncated;
   } else {
-    end_ = was_reused_ ? attempt_end::stale_connection : attempt_end::closed_unanswered;
+    // After an interim answer the server has the request, so that its end may be a crash.
+    const bool is_stale = was_reused_ && interim_answers_ == 0;
+    end_ = is_stale ? attempt_end::stale_connection : attempt_end::closed_unanswered;
   }
 }
 
--- a/tests/proxy/cut_heads_test.cpp
+++ b/tests/proxy/cut_heads_test.cpp
@@ -202,3 +202,15 @@
     CHECK(b.requests() == 1);
   }
 }
+
+// Guards against treating a server that crashed after an interim answer as a stale connection,
+// which would send the request to it again without a budget.
+TEST_CASE("a kept connection that ends after an interim answer is not stale") {
+  backend b(cut_off(interim, {false, true, true}));
+  cut_fixture f({b.id()}, true);
+  f.get();
+  CHECK(f.get().status == 502);
+  REQUIRE(eventually([&] { return f.log().reports.size() == 2; }));
+  CHECK(f.log().reports[1].end == attempt_end::closed_unanswered);
+  CHECK(b.connections() == 1);
+}
