State how an answer to another request ended when it is skipped

Cause: the end of the connection and the deadline within a skipped answer were both reported as malformed, so the caller got 502 for a passed deadline and the health evidence named the wrong kind.

Evidence: "an answer to another request that stops is truncated, or late when it stays silent" failed on the unchanged code (malformed instead of truncated; 502 and malformed instead of 504 and timed_out).

--- a/src/proxy/body_reader.h
+++ b/src/proxy/body_reader.h
@@ -21,6 +21,10 @@
   malformed  ///< not a valid body
 };
 
+constexpr bool is_failure(body_state state) noexcept {
+  return state != body_state::more && state != body_state::done;
+}
+
 struct body_piece {
   std::size_t size = 0;
   body_state state = body_state::more;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -19,6 +19,12 @@
 
 constexpr std::size_t max_answer_fields = 200;
 
+attempt_end end_of_failed_body(body_state state) noexcept {
+  return state == body_state::closed      ? attempt_end::truncated
+         : state == body_state::timed_out ? attempt_end::timed_out
+                                          : attempt_end::malformed;
+}
+
 } // namespace
 
 exchange::exchange(entry_context& context, upstream_target target,
@@ -357,7 +363,8 @@
   const auto limit = context_.settings.max_skipped_answer_bytes;
   while (!parser_->is_done() && skipped_bytes_ <= limit) {
     const auto got = co_await read_body(*connection_->stream, *parser_, piece.data(), piece.size());
-    if (is_cancelled_ || (got.state != body_state::more && got.state != body_state::done)) {
+    if (is_cancelled_ || is_failure(got.state)) {
+      end_ = end_of_failed_body(got.state);
       co_return false;
     }
     skipped_bytes_ += got.size;
@@ -473,23 +480,12 @@
   if (answer_body_bytes_ > context_.settings.max_answer_body_bytes) {
     piece = body_piece{0, body_state::malformed};
   }
-  switch (piece.state) {
-  case body_state::more:
-    co_return piece;
-  case body_state::done:
+  if (piece.state == body_state::done) {
     finish_answer();
-    co_return piece;
-  case body_state::closed:
-    end_ = attempt_end::truncated;
-    break;
-  case body_state::timed_out:
-    end_ = attempt_end::timed_out;
-    break;
-  case body_state::malformed:
-    end_ = attempt_end::malformed;
-    break;
+  } else if (is_failure(piece.state)) {
+    end_ = end_of_failed_body(piece.state);
+    release(false);
   }
-  release(false);
   co_return piece;
 }
 
--- a/tests/proxy/cut_heads_test.cpp
+++ b/tests/proxy/cut_heads_test.cpp
@@ -214,3 +214,27 @@
   CHECK(f.log().reports[1].end == attempt_end::closed_unanswered);
   CHECK(b.connections() == 1);
 }
+
+// Guards against a failure that hides how an answer to another request ended.
+TEST_CASE("an answer to another request that stops is truncated, or late when it stays silent") {
+  const std::string foreign = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 3\r\n\r\nok";
+  for (const bool is_silent : {false, true}) {
+    CAPTURE(is_silent);
+    backend b([&](backend& self, test_connection& c, int) {
+      self.read_request(c);
+      c.send(foreign);
+      if (is_silent) {
+        c.read_exactly(1);
+      }
+    });
+    fixture f({b.id()}, [](entry_settings& s) {
+      s.names.request_id = "Request-Id";
+      s.names.is_request_id_echoed = true;
+    });
+    f.service.timeout = base::milliseconds(is_silent ? 100 : 10'000);
+    f.start();
+    CHECK(f.get("/a", "Request-Id: own\r\n").status == (is_silent ? 504 : 502));
+    REQUIRE(eventually([&] { return f.log().reports.size() == 1; }));
+    CHECK(f.log().reports[0].end == (is_silent ? attempt_end::timed_out : attempt_end::truncated));
+  }
+}
