Guard answers that stop behind a tunnel and answers to probes that stop

Two tests without a change to the code: cuts of an answer through a tunnel with an orderly end and a reset of the server's connection (502 or a broken-off answer, sent once), and cuts of an answer to a probe (failed).

--- a/tests/node/prober_test.cpp
+++ b/tests/node/prober_test.cpp
@@ -1,10 +1,13 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <thread>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 
 #include "../../src/node/prober.h"
 
@@ -25,8 +28,51 @@
   }
 };
 
+/// Probes a server that sends `text` and ends its connection, or resets it.
+health::probe_outcome probe_of(const std::string& text, bool is_reset) {
+  listener l;
+  std::thread server([&] {
+    boost::asio::io_context io;
+    tcp::socket socket(io);
+    l.acceptor.accept(socket);
+    std::string request;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+    boost::asio::write(socket, boost::asio::buffer(text));
+    if (is_reset) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5)); // until the text was read
+      socket.set_option(boost::asio::socket_base::linger(true, 0));
+    }
+    socket.close();
+  });
+  auto out = health::probe_outcome::bad_status;
+  l.prober.probe("127.0.0.1:" + std::to_string(l.acceptor.local_endpoint().port()), "/",
+                 base::seconds(10), [&](health::probe_outcome outcome) { out = outcome; });
+  l.io.run();
+  server.join();
+  return out;
+}
+
 } // namespace
 
+// Guards against a server counted as well although it cannot complete an answer.
+TEST_CASE("a probe whose answer stops with its connection has failed") {
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const bool is_reset : {false, true}) {
+    for (const std::string& cut :
+         {std::string("HTTP/1.1 200 OK\r\n"), std::string("HTTP/1.1 200 OK\r\nContent-Le"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 1"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok"), chunked,
+          chunked + "2\r\nok", chunked + "2\r\nok\r\n0\r\n"}) {
+      CAPTURE(is_reset);
+      CAPTURE(cut);
+      CHECK(probe_of(cut, is_reset) == health::probe_outcome::failed);
+    }
+  }
+  CHECK(probe_of("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false) ==
+        health::probe_outcome::ok);
+}
+
 TEST_CASE("a listener that closes with connections in its backlog is not alive") {
   listener l;
   l.check();
--- a/tests/proxy/tunnel_test.cpp
+++ b/tests/proxy/tunnel_test.cpp
@@ -123,6 +123,40 @@
   CHECK(f.get().status == 502);
 }
 
+// Guards against a success from a part of an answer, when the server ends or resets its connection
+// behind the tunnel.
+TEST_CASE("an answer through a tunnel that stops anywhere is not a success") {
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const bool is_reset : {false, true}) {
+    for (const std::string& cut :
+         {std::string("HTTP/1.1 200 OK\r\n"), std::string("HTTP/1.1 200 OK\r\nContent-Length: 1"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r"),
+          std::string("HTTP/1.1 100 Continue\r\n\r\n"), std::string("HTTP/1.1 200 OK\r\n\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok"), chunked,
+          chunked + "2\r\nok\r\n0\r\n"}) {
+      CAPTURE(is_reset);
+      CAPTURE(cut);
+      backend server([&](backend& b, test_connection& c, int) {
+        if (b.read_request(c)) {
+          c.send(cut);
+          std::this_thread::sleep_for(std::chrono::milliseconds(is_reset ? 5 : 0));
+          is_reset ? c.reset() : c.close();
+        }
+      });
+      other_instance other(server.id());
+      cut_off_fixture f(other.address(), "secret",
+                        [](entry_settings& s) { s.names.may_answer_end_with_connection = true; });
+      f.on_loop([&] {
+        f.route.is_repeatable = false;
+        f.route.needs_idempotency_key = false;
+      });
+      const auto answer = f.get();
+      CHECK((answer.status == 502 || (answer.status == 200 && !answer.is_whole)));
+      CHECK(server.requests() == 1);
+    }
+  }
+}
+
 TEST_CASE("the server's connection ends when the caller leaves") {
   std::atomic<bool> is_ended{false};
   backend server([&](backend& b, test_connection& c, int) {
