Take a probe's outcome from the final answer

Cause: the prober read one answer only, so an interim answer (103) was the outcome "ok", also when the server then ended the connection, stopped within the next head or answered 503.

Change: it reads past interim answers within the probe's timeout.

--- a/src/node/prober.cpp
+++ b/src/node/prober.cpp
@@ -1,5 +1,6 @@
 #include "prober.h"
 
+#include <optional>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -17,6 +18,7 @@
 namespace http = beast::http;
 using boost::system::error_code;
 
+constexpr unsigned first_final_status = 200;
 constexpr unsigned first_error_status = 400;
 constexpr std::uint64_t answer_limit_bytes = std::uint64_t{64} * 1024;
 // A server in the same region accepts within a few milliseconds.
@@ -30,9 +32,7 @@
 class probe_call : public std::enable_shared_from_this<probe_call> {
 public:
   probe_call(asio::io_context& io, std::function<void(health::probe_outcome)> done)
-      : stream_(io), done_(std::move(done)) {
-    parser_.body_limit(answer_limit_bytes);
-  }
+      : stream_(io), done_(std::move(done)) {}
 
   void start(const settings::endpoint& to, const std::string& path, base::milliseconds timeout) {
     request_.method(http::verb::get);
@@ -55,14 +55,22 @@
     });
   }
 
+  // Reads past interim answers; the probe's timeout bounds their number.
   void read() {
+    parser_.emplace();
+    parser_->body_limit(answer_limit_bytes);
     http::async_read(
-        stream_, buf_, parser_, [self = shared_from_this()](error_code ec, std::size_t) {
+        stream_, buf_, *parser_, [self = shared_from_this()](error_code ec, std::size_t) {
           if (ec) {
             self->finish(health::probe_outcome::failed);
             return;
           }
-          const bool is_ok = self->parser_.get().result_int() < first_error_status;
+          const auto status = self->parser_->get().result_int();
+          if (status < first_final_status) {
+            self->read();
+            return;
+          }
+          const bool is_ok = status < first_error_status;
           self->finish(is_ok ? health::probe_outcome::ok : health::probe_outcome::bad_status);
         });
   }
@@ -72,7 +80,7 @@
   beast::tcp_stream stream_;
   std::function<void(health::probe_outcome)> done_;
   http::request<http::empty_body> request_;
-  http::response_parser<http::string_body> parser_;
+  std::optional<http::response_parser<http::string_body>> parser_;
   beast::flat_buffer buf_;
 };
 
--- a/tests/node/prober_test.cpp
+++ b/tests/node/prober_test.cpp
@@ -73,6 +73,20 @@
         health::probe_outcome::ok);
 }
 
+// Guards against taking an interim answer for the server's answer.
+TEST_CASE("a probe's outcome is that of the final answer") {
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+  const std::string busy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+  const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  for (const bool is_reset : {false, true}) {
+    CAPTURE(is_reset);
+    CHECK(probe_of(interim, is_reset) == health::probe_outcome::failed);
+    CHECK(probe_of(interim + "HTTP/1.1 200 OK\r\n", is_reset) == health::probe_outcome::failed);
+  }
+  CHECK(probe_of(interim + interim + busy, false) == health::probe_outcome::bad_status);
+  CHECK(probe_of(interim + ok, false) == health::probe_outcome::ok);
+}
+
 TEST_CASE("a listener that closes with connections in its backlog is not alive") {
   listener l;
   l.check();
