Guard long answers without a length and answers to HEAD that stop

Two more cases of cut_heads_test: a forwarded body without a length ends with the last chunk after an orderly end and without it after a reset; the head of an answer to HEAD is a success with its blank line only.

--- a/tests/proxy/cut_heads_test.cpp
+++ b/tests/proxy/cut_heads_test.cpp
@@ -186,6 +186,61 @@
   CHECK(a.field("x-kingcupshunt-reason") == "answer_truncated");
 }
 
+// Guards against ending a forwarded body as complete when the server's part of it was reset.
+TEST_CASE("a long answer without a length is broken off after a reset") {
+  const std::string body(std::size_t{300} * 1024, 'x');
+  for (const bool is_reset : {false, true}) {
+    CAPTURE(is_reset);
+    std::atomic<bool> may_end{false};
+    backend b([&](backend& self, test_connection& c, int) {
+      self.read_request(c);
+      c.send("HTTP/1.1 200 OK\r\n\r\n" + body);
+      eventually([&] { return may_end.load(); });
+      if (is_reset) {
+        c.reset();
+      }
+    });
+    fixture f({b.id()}, [](entry_settings& s) {
+      s.names.may_answer_end_with_connection = true;
+      s.max_stored_answer_bytes = std::size_t{64} * 1024;
+    });
+    f.start();
+    test_connection caller(f.port());
+    caller.send("GET /a HTTP/1.1\r\nHost: shop\r\n\r\n");
+    CHECK(caller.read_head().find("chunked") != std::string::npos);
+    caller.read_exactly(body.size()); // the sizes of the chunks are left to read
+    may_end = true;
+    std::string rest;
+    for (auto c = caller.read_exactly(1); !c.empty(); c = caller.read_exactly(1)) {
+      rest += c;
+      if (rest.ends_with("\r\n0\r\n\r\n")) {
+        break;
+      }
+    }
+    CHECK(rest.ends_with("\r\n0\r\n\r\n") == !is_reset);
+  }
+}
+
+// Guards against a success from a part of the head of an answer without a body.
+TEST_CASE("an answer to HEAD is complete with its blank line only") {
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n";
+  for (const bool is_reset : {false, true}) {
+    for (const std::size_t missing : {0, 1, 2, 3, 5, 20}) {
+      CAPTURE(is_reset);
+      CAPTURE(missing);
+      backend b(cut_off(head.substr(0, head.size() - missing), {is_reset, false, false}));
+      cut_fixture f({b.id()}, false);
+      test_connection caller(f.port());
+      caller.send("HEAD /a HTTP/1.1\r\nHost: shop\r\n\r\n");
+      const auto a = caller.read_answer(true);
+      // A reset may discard a head that was not read yet.
+      const bool is_whole = missing == 0 && !is_reset;
+      CHECK((a.status == (is_whole ? 200 : 502) || (missing == 0 && a.status == 200)));
+      CHECK(b.requests() == 1);
+    }
+  }
+}
+
 // Guards against a head without an end that holds the caller beyond the deadline.
 TEST_CASE("a head that stops without an end of the connection is refused at the deadline") {
   for (const std::string cut : {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r",
