Failing test: a stop without a window closes a waiting request unanswered

entry_server::stop is called without begin_stop by kingcupshunt run (node/instance.cpp), so no window is set there: what waits for its turn is closed at the end of the stop without an answer, and is logged as caller_gone, since the wait returns before refusal_of_failure.

Test: proxy, stop_test.cpp.

--- a/tests/proxy/stop_test.cpp
+++ b/tests/proxy/stop_test.cpp
@@ -181,3 +181,31 @@
   CHECK(a.status == 502);
   CHECK(b.requests() == 0);
 }
+
+// Guards against a stop that was not announced (kingcupshunt run) and that closes a waiting request
+// without an answer, and against counting it as a caller that has left.
+TEST_CASE("a request that waits for its turn when a stop without a window ends is answered") {
+  backend b(always(ok_answer()));
+  fixture f({b.id()});
+  f.service.timeout = base::seconds(60);
+  std::atomic<bool> is_waiting{false};
+  std::function<void(decided<void>)> admitted;
+  f.decisions.admit = [&](const auto&, const auto&, const auto& done) {
+    admitted = done;
+    is_waiting = true;
+  };
+  f.start();
+  test_connection waiting(f.port());
+  waiting.send(get_a);
+  CHECK(eventually([&] { return is_waiting.load(); }));
+  std::atomic<int> cut{-1};
+  f.on_loop([&] {
+    f.server->stop(base::clock::now() + base::milliseconds(200),
+                   [&](std::size_t n) { cut = static_cast<int>(n); });
+  });
+  const auto a = waiting.read_answer();
+  CHECK(a.status == 503);
+  CHECK(eventually([&] { return cut >= 0; }));
+  CHECK(cut == 0);
+  CHECK(f.counter("kingcupshunt_refusals_total{reason=\"caller_gone\"}") == 0);
+}
