--- a/include/kingcupshunt/proxy/entry_server.h
+++ b/include/kingcupshunt/proxy/entry_server.h
@@ -60,8 +60,9 @@
   void set_caller_limits(std::size_t head_bytes, base::milliseconds head_timeout,
                          base::milliseconds idle_timeout);
 
-  /// Stops accepting connections, closes idle ones, lets requests in flight finish until
-  /// `deadline`, closes the remaining connections and calls `done` with their number.
+  /// Begins a planned stop unless one has begun. Stops accepting connections, closes idle ones,
+  /// lets requests in flight finish until `deadline`, closes the remaining connections and calls
+  /// `done` with their number.
   void stop(base::time_point deadline, std::function<void(std::size_t aborted)> done);
 
   /// Number of open caller connections.
--- a/src/proxy/entry_server.cpp
+++ b/src/proxy/entry_server.cpp
@@ -217,6 +217,9 @@
 
 void entry_server::stop(base::time_point deadline, std::function<void(std::size_t)> done) {
   error_code ignored;
+  if (!impl_->context->stop) {
+    begin_stop({base::clock::now(), deadline});
+  }
   impl_->context->is_stopping = true;
   impl_->acceptor.close(ignored);
   for (const auto& s :
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -243,6 +243,10 @@
   return !may_outlast_stop() || base::clock::now() < context_.stop->last_start();
 }
 
+refusal request_handler::cut_by_stop() {
+  return not_run(502, "cut_by_stop", "the instance stopped before the answer was complete");
+}
+
 /// The caller need not wait: the other instances are not affected.
 refusal request_handler::refused_by_stop() {
   auto out = not_run(503, "stopping", "the instance is stopping; send the request to another one");
@@ -355,7 +359,9 @@
   while (!waiting->result) {
     if (caller_->is_disconnected) {
       waiting->is_abandoned = true;
-      co_return not_run(499, "caller_gone", "the caller closed the connection");
+      co_return caller_->is_aborted
+          ? cut_by_stop()
+          : not_run(499, "caller_gone", "the caller closed the connection");
     }
     if (base::clock::now() >= auth_.deadline) {
       waiting->is_abandoned = true;
--- a/src/proxy/request_handler.h
+++ b/src/proxy/request_handler.h
@@ -40,6 +40,7 @@
   bool may_outlast_stop() const;
   bool has_time_before_stop() const;
   static refusal refused_by_stop();
+  static refusal cut_by_stop();
   awaitable<std::optional<refusal>> admit();
   awaitable<std::optional<refusal>> reserve();
   awaitable<bool> plan_try();
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -379,7 +379,7 @@
 refusal request_handler::refusal_of_failure() const {
   refusal r;
   if (caller_->is_aborted) {
-    r = failed(502, "cut_by_stop", "the instance stopped before the answer was complete", false);
+    r = cut_by_stop();
   } else if (body_failure_) {
     r = *body_failure_;
   } else if (failure_) {
