Let tunnels end from the beginning of an entry's stop

The same cause elsewhere (review, by reading): a stopping entry took tunnels and requests on them until its own last request had ended, and then reset all of them; where that request lasted to the end of the stop, requests of other entries were cut in the middle. Tunnels now take nothing new from the beginning of the stop and end as they fall quiet; the directory has not offered them since then, and an entry that still knows the address takes the next tunnel. tunnel_test.cpp covers the stop of a tunnel server, the wiring in entry_node has no test of its own.

--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -73,6 +73,7 @@
   bool is_ready() const { return !is_leaving && link.has_document() && link.is_fresh(); }
   void begin_stop();
   void close_entry(base::time_point stop_at);
+  void end_listener();
 
   proxy::wire_names names;
   entry_node_hooks hooks;
@@ -84,6 +85,7 @@
   std::unique_ptr<proxy::tunnel_server> tunnels;
   std::unique_ptr<control::http_server> readiness;
   bool is_leaving = false;
+  std::size_t open_listeners = 0; ///< of `entry` and `tunnels`, those whose stop has not ended
   bool was_ready = false;
 };
 
@@ -200,6 +202,12 @@
   link.query_now();
   link.tick(now);
   entry->begin_stop({now, stop_at});
+  open_listeners = tunnels ? 2 : 1;
+  if (tunnels) {
+    // A request of another instance may begin on an open tunnel at any time, so tunnels are closed
+    // early enough for the requests on them to end.
+    tunnels->stop(stop_at, [this] { end_listener(); });
+  }
   stop_timer.expires_at(std::min(
       now + base::from_seconds(base::to_seconds(bounds.address_lifetime) * address_lifetimes),
       stop_at));
@@ -207,16 +215,18 @@
 }
 
 void entry_node::impl::close_entry(base::time_point stop_at) {
-  entry->stop(stop_at, [this, stop_at](std::size_t aborted) {
+  entry->stop(stop_at, [this](std::size_t aborted) {
     observe::log_info("connections_cut", {{"count", aborted}});
-    if (!tunnels) {
-      runtime.end();
-      return;
-    }
-    tunnels->stop(stop_at, [this] { runtime.end(); });
+    end_listener();
   });
 }
 
+void entry_node::impl::end_listener() {
+  if (--open_listeners == 0) {
+    runtime.end();
+  }
+}
+
 entry_node::entry_node(std::unique_ptr<impl> i) : impl_(std::move(i)) {}
 
 entry_node::~entry_node() = default;
