--- a/include/kingcupshunt/proxy/wire_names.h
+++ b/include/kingcupshunt/proxy/wire_names.h
@@ -31,4 +31,9 @@
   bool is_shed_budgeted = false;
 };
 
+/// The statuses of `wire_names::has_not_run_statuses`.
+constexpr bool is_not_run_status(unsigned status) noexcept {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 } // namespace kingcupshunt::proxy
--- a/src/proxy/answer_owner.cpp
+++ b/src/proxy/answer_owner.cpp
@@ -37,7 +37,11 @@
   return is_other_instance || answer.count(names.not_run) > 0;
 }
 
-const char* check_success(const response_header& answer, const wire_names& names) {
+const char* check_promises(const response_header& answer, const wire_names& names) {
+  if (names.has_not_run_statuses && is_not_run_status(answer.result_int()) &&
+      !is_refusal(answer, names)) {
+    return "a status that states \"not run\" without the server's word for it";
+  }
   const bool is_success = answer.result_int() < 300;
   if (!is_success) {
     return nullptr;
--- a/src/proxy/answer_owner.h
+++ b/src/proxy/answer_owner.h
@@ -22,8 +22,8 @@
 /// True when the answer states that its request has not run.
 bool is_refusal(const response_header& answer, const wire_names& names);
 
-/// Returns why a success cannot be used, or nullptr: its request id or signature is missing, or its
-/// body is encoded.
-const char* check_success(const response_header& answer, const wire_names& names);
+/// Returns why an answer cannot be given to the caller, or nullptr: a success without request id or
+/// signature or with an encoded body, or a status that states "not run" where the server does not.
+const char* check_promises(const response_header& answer, const wire_names& names);
 
 } // namespace kingcupshunt::proxy
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -346,7 +346,7 @@
       continue;
     }
     if (answer().result_int() >= 200) {
-      if (check_success(answer(), context_.settings.names) != nullptr) {
+      if (check_promises(answer(), context_.settings.names) != nullptr) {
         co_return false;
       }
       end_ = end_of_status();
--- a/src/proxy/request_answer.cpp
+++ b/src/proxy/request_answer.cpp
@@ -54,10 +54,8 @@
 /// failure statuses, so that the caller may repeat it.
 refusal request_handler::with_status_of_ran_state(refusal r) const {
   constexpr base::milliseconds default_retry_after{250}; // about the time until a slot is freed
-  const bool is_not_run_status =
-      r.status == 408 || r.status == 421 || r.status == 429 || r.status == 503;
   const bool is_failure_status = r.status == 499 || r.status >= 500;
-  if (is_not_run_status && r.ran != ran_state::no) {
+  if (is_not_run_status(r.status) && r.ran != ran_state::no) {
     r.status = 502;
     r.retry_after.reset();
   } else if (is_failure_status && r.ran == ran_state::no) {
--- a/tests/proxy/not_run_status_test.cpp
+++ b/tests/proxy/not_run_status_test.cpp
@@ -195,3 +195,28 @@
          std::to_string(body.size()) + "\r\n\r\n" + body);
   CHECK(c.read_answer().status == 503);
 }
+
+// Guards against passing on a status that states "not run" for a request that the server has run.
+TEST_CASE("a server's \"not run\" status without its statement is not returned") {
+  std::string status;
+  SUBCASE("408") {
+    status = "408 Request Timeout";
+  }
+  SUBCASE("429") {
+    status = "429 Too Many Requests";
+  }
+  SUBCASE("503") {
+    status = "503 Service Unavailable";
+  }
+  backend busy(always("HTTP/1.1 " + status +
+                      "\r\nRequest-Id: r1\r\nUpstream-Signature: s\r\nContent-Length: 0\r\n\r\n"));
+  backend other(always(signed_answer("r1")));
+  strict_fixture f({busy.id(), other.id()});
+  f.start();
+  test_connection c(f.port());
+  c.send(order);
+  const auto a = c.read_answer();
+  CHECK(a.status == 502);
+  CHECK(a.field("upstream-signature").empty());
+  CHECK(other.requests() == 0);
+}
