Send nothing new to a server whose own answers say that it leaves

Entries read only announcements, which reach them later or not at all while they are out of touch.

Change: the head of each answer to a request (success, failure, refusal, interim) is read for the field; only exactly one "1" counts, anything else is counted as unreadable. Before the answer is passed on, the board takes that incarnation (id and start time) out of first tries, retries, hedges, trial requests, free slots and tunnels; what runs there ends undisturbed, the notice is no failure, an announcement `ready` of the same incarnation does not end it, a new incarnation starts free, and a late answer of the incarnation before says nothing about its successor. A 421 comes from another instance and says nothing. Kept connections to the server are closed. When all servers of a service leave, requests, also waiting ones, are refused at once as not run with a Retry-After. One bounded log line `server_leaving` and a counter.

--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -111,6 +111,13 @@
   std::uint64_t sent = 0; ///< requests of this instance since the limit began
 };
 
+/// A server that is to get no further requests since one of its answers said that it leaves.
+struct leaving_notice {
+  std::string_view server;
+  std::string_view service;
+  std::size_t in_flight = 0; ///< other requests of this instance that still run there
+};
+
 /// How many servers of a service may be used, and how many of these are suspected to be faulty.
 struct service_suspicion {
   std::uint32_t usable = 0;
@@ -118,7 +125,8 @@
 };
 
 struct board_hooks {
-  std::function<void(const limit_change&)> on_limit; ///< may be empty
+  std::function<void(const limit_change&)> on_limit;     ///< may be empty
+  std::function<void(const leaving_notice&)> on_leaving; ///< may be empty
 };
 
 /// State of a server, for the status page.
@@ -153,7 +161,13 @@
   void end(std::string_view server, std::uint64_t request, const health::attempt& a,
            base::time_point now);
 
-  /// "ip:port" of a server that has not gone; empty when it is not known.
+  /// An answer to this running request said that its server leaves. That incarnation of the server
+  /// gets no further request; what runs there ends undisturbed.
+  void note_leaving(std::string_view server, std::uint64_t request);
+  /// True when no server of the service may be used and the answers of one say that it leaves.
+  bool is_left(std::string_view service, base::time_point now) const;
+
+  /// "ip:port" of a server that has not gone and does not leave; empty when it is not known.
   std::string address_of(std::string_view server) const;
   /// Free slots of the usable servers of the service, as far as known. Suspected faulty servers are
   /// excluded unless they are many.
@@ -205,7 +219,8 @@
     base::time_point since{};
     bool is_repeatable = false;
     bool is_late = false;
-    bool is_excused = false; ///< its failure is not the server's
+    bool is_excused = false;      ///< its failure is not the server's
+    std::uint64_t started_ms = 0; ///< incarnation of the server that it was sent to
   };
   struct server {
     fleet::server_record record;
@@ -222,6 +237,8 @@
     bool was_used = false;        ///< whether any instance is known to have used it
     base::time_point due_at{};    ///< when the next request is due, to keep enough servers in use
     rates::request_permits permits;
+    /// `started_ms` of the incarnation whose answers said that it leaves.
+    std::optional<std::uint64_t> left_incarnation;
   };
   /// Exponentially decayed counts of requests.
   struct request_count {
@@ -245,6 +262,7 @@
               base::time_point now) const;
   static std::uint32_t in_flight(const server& s) noexcept;
   static bool is_usable(const server& s, base::time_point now) noexcept;
+  static bool is_leaving(const server& s) noexcept;
   void note_failure(server& s, fleet::failure_note note, base::time_point now);
   bool set_limit(server& s, std::optional<double> per_second);
   void note_limit(server& s, const health::attempt& a);
--- a/include/kingcupshunt/health/attempt.h
+++ b/include/kingcupshunt/health/attempt.h
@@ -47,6 +47,7 @@
   bool was_reused = false;       ///< sent on a connection that had carried earlier requests
   limit_notice limit = limit_notice::unknown;
   double server_limit = 0; ///< requests per second from all instances together, when `limited`
+  bool is_leaving = false; ///< an answer to it said that its server leaves
 };
 
 } // namespace kingcupshunt::health
--- a/include/kingcupshunt/proxy/hooks.h
+++ b/include/kingcupshunt/proxy/hooks.h
@@ -103,6 +103,9 @@
   /// Reports the result of a try and releases its slot.
   std::function<void(const authorized_request&, const health::attempt&)> report;
 
+  /// Called before an answer is passed on that says that its upstream leaves. May be empty.
+  std::function<void(const authorized_request&, const std::string& upstream)> note_leaving;
+
   /// True when another try is allowed after `last`. Called only before the request's deadline.
   std::function<bool(const authorized_request&, const health::attempt& last)> may_retry;
 
--- a/include/kingcupshunt/proxy/wire_names.h
+++ b/include/kingcupshunt/proxy/wire_names.h
@@ -18,6 +18,8 @@
   /// From the upstream: requests per second that it accepts from all instances together, for as
   /// long as its answers name this.
   std::string server_limit = "X-Kingcupshunt-Server-Limit";
+  /// From the upstream: "1" in all answers of one that leaves, which gets no further requests.
+  std::string server_leaving = "X-Kingcupshunt-Server-Leaving";
 
   /// The caller's request id is forwarded unchanged, and answers must echo it.
   bool is_request_id_echoed = false;
--- a/src/balance/server_board.cpp
+++ b/src/balance/server_board.cpp
@@ -77,7 +77,7 @@
 }
 
 bool server_board::is_usable(const server& s, base::time_point now) noexcept {
-  return s.record.state == fleet::server_state::ready && now < s.usable_until;
+  return s.record.state == fleet::server_state::ready && now < s.usable_until && !is_leaving(s);
 }
 
 std::uint32_t server_board::in_flight(const server& s) noexcept {
@@ -272,10 +272,14 @@
   if (chosen == nullptr) {
     chosen = find_cheapest(of->second, request, tried, now, is_busy);
   }
+  if (chosen == nullptr && tried.empty() && is_left(request.service, now)) {
+    return board_error::unknown_service;
+  }
   if (chosen == nullptr) {
     return is_busy ? board_error::all_busy : board_error::all_tried;
   }
-  chosen->own_requests[request.serial] = {now, request.is_repeatable, false, false};
+  chosen->own_requests[request.serial] = {now, request.is_repeatable, false, false,
+                                          chosen->record.started_ms};
   chosen->permits.take(now);
   note_use(*chosen, now);
   return chosen->record;
@@ -306,6 +310,9 @@
     return;
   }
   auto& s = it->second;
+  if (a.is_leaving) {
+    note_leaving(id, request);
+  }
   const auto run = s.own_requests.find(request);
   const bool was_late = run != s.own_requests.end() && run->second.is_late;
   const bool is_lost = run == s.own_requests.end() || !run->second.is_repeatable;
@@ -420,8 +427,9 @@
 
 std::string server_board::address_of(std::string_view id) const {
   const auto it = servers_.find(id);
-  const bool is_known =
-      it != servers_.end() && it->second.record.state != fleet::server_state::gone;
+  const bool is_known = it != servers_.end() &&
+                        it->second.record.state != fleet::server_state::gone &&
+                        !is_leaving(it->second);
   return is_known ? it->second.record.address : std::string();
 }
 
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <numbers>
 #include <utility>
 
@@ -111,6 +112,9 @@
   out.report = [this](const proxy::authorized_request& request, const health::attempt& a) {
     report(request, a);
   };
+  out.note_leaving = [this](const proxy::authorized_request& request, const std::string& server) {
+    board_.note_leaving(server, request.serial);
+  };
   out.may_retry = [this](const proxy::authorized_request& request, const health::attempt& last) {
     return may_retry(request, last);
   };
@@ -135,6 +139,7 @@
                                          {"sent_here", change.sent}});
     }
   };
+  out.on_leaving = [this](const balance::leaving_notice& notice) { log_leaving(notice); };
   return out;
 }
 
@@ -246,6 +251,9 @@
   admission::gate_capacity out;
   out.free_slots = board_.free_slots(service, now);
   out.starts_per_second = board_.starts_per_second(service, now) / link_.entry_count();
+  if (board_.is_left(service, now)) {
+    out.free_slots = std::numeric_limits<std::uint32_t>::max(); // `pick` refuses them at once
+  }
   return out;
 }
 
@@ -318,7 +326,7 @@
     const auto before = it->second.waiting();
     capacity.free_slots = std::min<std::uint32_t>(capacity.free_slots, 1);
     if (it->second.dispatch(capacity, now) == 0 || it->second.waiting() >= before ||
-        board_.free_slots(service, now) == 0) {
+        capacity_of(service, now).free_slots == 0) {
       break;
     }
   }
--- a/src/node/entry_traffic.h
+++ b/src/node/entry_traffic.h
@@ -72,6 +72,7 @@
   void record_refusal(const proxy::request_head& head, const proxy::refusal& r,
                       const std::vector<std::string>& tried);
   bool may_log(base::time_point now);
+  void log_leaving(const balance::leaving_notice& notice); // entry_leaving.cpp
 
   role_runtime& runtime_;
   fleet::entry_link& link_;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -319,8 +319,10 @@
       }
       end_ = end_of_status();
       note_server_limit();
+      note_server_leaving();
       co_return true;
     }
+    note_server_leaving();
     // Interim answers are not forwarded: the entry itself sends 100 to the caller.
     if (++interim_answers_ > context_.settings.max_interim_answers) {
       co_return false;
@@ -495,7 +497,7 @@
   is_whole_ = true;
   const bool is_keep_alive = parser_->keep_alive() && answer().version() == 11;
   // The pool closes connections with bytes after the answer, which belong to no request.
-  release(is_keep_alive && is_body_sent_);
+  release(is_keep_alive && is_body_sent_ && !is_leaving_);
 }
 
 awaitable<bool> exchange::write_body(std::string_view piece, bool is_chunked, bool is_last) {
@@ -533,6 +535,7 @@
   a.was_reused = was_reused_;
   a.limit = limit_;
   a.server_limit = server_limit_;
+  a.is_leaving = is_leaving_;
   return a;
 }
 
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -51,6 +51,8 @@
   bool has_answer() const noexcept { return is_finished_ && has_answer_; }
   /// True when the answer's whole body is in collected_body().
   bool is_whole() const noexcept { return is_whole_; }
+  /// True when an answer to the request, also an interim one, said that the server leaves.
+  bool is_leaving() const noexcept { return is_leaving_; }
   /// Time since which a reused connection has been silent after the request was sent; empty
   /// otherwise.
   std::optional<base::time_point> silent_since() const noexcept { return silent_since_; }
@@ -96,6 +98,7 @@
   void release(bool is_reusable);
   health::attempt_end end_of_status() const;
   void note_server_limit();
+  void note_server_leaving(); // exchange_notices.cpp
 
   std::shared_ptr<entry_context> context_owner_; ///< a cancelled try may outlive the session
   entry_context& context_;
@@ -113,6 +116,7 @@
   std::uint64_t answer_body_bytes_ = 0; ///< read so far
   health::limit_notice limit_ = health::limit_notice::unknown;
   double server_limit_ = 0;
+  bool is_leaving_ = false;
   std::optional<base::time_point> silent_since_;
   base::time_point started_;
   base::time_point sent_at_;
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -299,6 +299,10 @@
   } else if (pair.check) {
     pair.check->cancel();
   }
+  if (ended->is_leaving() && context_.hook.note_leaving) {
+    // The report comes only after the body, which may take long.
+    context_.hook.note_leaving(auth_, ended->target().id);
+  }
   may_have_run_ = may_have_run_ || (ended->was_sent() && ended->end() != attempt_end::shed);
   if (ended->has_answer() && !is_error_answer(*ended)) {
     return ended; // reported after its body was sent
