Send nothing to a server that asks for a pause with Retry-After

Cause: the Retry-After of a server's 503 was not read. The board only took the server for full until a load report named it, and sent it a request beyond its slots meanwhile.

Change: the exchange reads the pause, the board keeps it for the server's incarnation. Until its end the server is no candidate for first tries, retries, hedges and trial requests and has no free slot; then one request goes alone until it is answered. The ends are spread by up to 100 ms. When all servers of a service are paused, new and waiting requests are refused at once with the earliest end as Retry-After. A shorter pause does not shorten the one in force. Values that are no number of seconds are counted and ignored; pauses end after 10 minutes at most.

The pause runs on the steady clock: a suspension of the machine makes it longer only.

--- a/include/kingcupshunt/admission/service_gate.h
+++ b/include/kingcupshunt/admission/service_gate.h
@@ -15,7 +15,8 @@
 /// Why a request is not passed on to the servers.
 enum class gate_refusal : std::uint8_t {
   no_time, ///< it could not start by `latest_start`
-  full     ///< the queue is full of requests of the same or a higher priority
+  full,    ///< the queue is full of requests of the same or a higher priority
+  paused   ///< every server has asked for a pause
 };
 
 using gate_result = std::optional<gate_refusal>; ///< empty: the request may proceed
@@ -52,6 +53,9 @@
   /// are free slots. Returns the number of admitted requests.
   std::size_t dispatch(const gate_capacity& capacity, base::time_point now);
 
+  /// Refuses all waiting requests.
+  void refuse_all(gate_refusal reason);
+
   std::size_t waiting() const noexcept { return waiting_.size(); }
   /// Expected time until a new request of `rank` could start.
   base::duration expected_wait(std::uint32_t rank, const gate_capacity& capacity) const;
--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -10,6 +11,7 @@
 #include <vector>
 
 #include "kingcupshunt/balance/episode_estimator.h"
+#include "kingcupshunt/balance/server_pause.h"
 #include "kingcupshunt/base/result.h"
 #include "kingcupshunt/base/rng.h"
 #include "kingcupshunt/base/time.h"
@@ -85,6 +87,8 @@
   /// Time for which a server known only from before a restart of its control instance is used
   /// without a new announcement. A running server announces itself again within that time.
   base::duration restored_lifetime = base::milliseconds(2800);
+  /// Random part of the end of a server's pause, so that not all instances return at once.
+  base::duration pause_spread = base::milliseconds(100);
   double latency_gain = 0.2; ///< weight of a new answer in the mean response time of a server
 };
 
@@ -92,7 +96,8 @@
 enum class board_error : std::uint8_t {
   unknown_service, ///< no server of the service is known
   all_tried,       ///< the request has tried every server that may be used
-  all_busy         ///< every server is full as far as known
+  all_busy,        ///< every server is full as far as known
+  all_paused       ///< every server has asked for a pause
 };
 
 /// A request that needs a server.
@@ -111,6 +116,13 @@
   std::uint64_t sent = 0; ///< requests of this instance since the limit began
 };
 
+/// A server asked this instance for a pause or extended it.
+struct pause_change {
+  std::string_view server;
+  base::duration pause{};
+  std::size_t in_flight = 0; ///< requests of this instance there
+};
+
 /// How many servers of a service may be used, and how many of these are suspected to be faulty.
 struct service_suspicion {
   std::uint32_t usable = 0;
@@ -119,6 +131,7 @@
 
 struct board_hooks {
   std::function<void(const limit_change&)> on_limit; ///< may be empty
+  std::function<void(const pause_change&)> on_pause; ///< may be empty
 };
 
 /// State of a server, for the status page.
@@ -163,6 +176,8 @@
   double starts_per_second(std::string_view service, base::time_point now) const;
   /// Limit of a server, requests per second from all instances; empty: none known.
   std::optional<double> limit_of(std::string_view server) const;
+  /// Earliest end of a pause when all usable servers of the service are paused; otherwise empty.
+  std::optional<base::time_point> pause_end(std::string_view service, base::time_point now) const;
   /// Mean response time of the service; empty before the first answer.
   std::optional<base::duration> mean_response_time(std::string_view service) const;
 
@@ -205,7 +220,8 @@
     base::time_point since{};
     bool is_repeatable = false;
     bool is_late = false;
-    bool is_excused = false; ///< its failure is not the server's
+    bool is_excused = false;      ///< its failure is not the server's
+    std::uint64_t started_ms = 0; ///< incarnation of the server
   };
   struct server {
     fleet::server_record record;
@@ -222,6 +238,7 @@
     bool was_used = false;        ///< whether any instance is known to have used it
     base::time_point due_at{};    ///< when the next request is due, to keep enough servers in use
     rates::request_permits permits;
+    server_pause pause;
   };
   /// Exponentially decayed counts of requests.
   struct request_count {
@@ -248,6 +265,8 @@
   void note_failure(server& s, fleet::failure_note note, base::time_point now);
   bool set_limit(server& s, std::optional<double> per_second);
   void note_limit(server& s, const health::attempt& a);
+  void note_pause(server& s, const running& run, const health::attempt& a, base::time_point now);
+  static std::uint32_t unpaused_starts(const server& s, base::time_point now) noexcept;
   double likelihood_ratio_of(fleet::failure_kind kind) const noexcept;
   bool is_likely_faulty(const server& s, base::time_point now) const;
   struct slot_counts {
--- a/include/kingcupshunt/health/attempt.h
+++ b/include/kingcupshunt/health/attempt.h
@@ -47,6 +47,8 @@
   bool was_reused = false;       ///< sent on a connection that had carried earlier requests
   limit_notice limit = limit_notice::unknown;
   double server_limit = 0; ///< requests per second from all instances together, when `limited`
+  /// Time for which the server wants no request, from its 503 with Retry-After. Zero: none.
+  base::duration pause{};
 };
 
 } // namespace kingcupshunt::health
--- a/include/kingcupshunt/proxy/head_checks.h
+++ b/include/kingcupshunt/proxy/head_checks.h
@@ -9,6 +9,7 @@
 #include <boost/beast/http/message.hpp>
 
 #include "kingcupshunt/base/result.h"
+#include "kingcupshunt/base/time.h"
 #include "kingcupshunt/proxy/refusal.h"
 
 namespace kingcupshunt::proxy {
@@ -52,6 +53,13 @@
 /// Empty when the value is not one.
 std::optional<double> server_limit_of(std::string_view value) noexcept;
 
+/// Longest pause that a server's Retry-After may ask for.
+inline constexpr base::seconds max_server_pause{600};
+
+/// Returns the pause that a server's Retry-After states in seconds, which may have fractions; at
+/// most `max_server_pause`. Empty for a date and for other values.
+std::optional<base::duration> server_pause_of(std::string_view value) noexcept;
+
 /// Makes a refusal with status 400 for an invalid request, which has not run.
 refusal bad_request(std::string reason, std::string message);
 
--- a/src/admission/service_gate.cpp
+++ b/src/admission/service_gate.cpp
@@ -63,4 +63,11 @@
   return passed;
 }
 
+void service_gate::refuse_all(gate_refusal reason) {
+  // A function that is called may enter a request.
+  for (auto& [at, request] : std::exchange(waiting_, {})) {
+    request.done(reason);
+  }
+}
+
 } // namespace kingcupshunt::admission
--- a/src/balance/server_board.cpp
+++ b/src/balance/server_board.cpp
@@ -60,6 +60,7 @@
   }
   if (is_new) {
     s.permits = {};
+    s.pause = {};
     s.estimator = {};
     s.history = {};
     s.mean_seconds = 0;
@@ -197,7 +198,7 @@
     auto& s = *candidate;
     const bool is_load_known = // the load from other instances
         !is_relay_local_ || s.record.data_centre == settings_.data_centre;
-    if (!is_load_known || !is_usable(s, now)) {
+    if (!is_load_known || !is_usable(s, now) || s.pause.holds(now)) {
       continue;
     }
     // A server that limits its rate is idle most of the time because of the limit, not because the
@@ -208,7 +209,7 @@
       continue;
     }
     idle += is_limited ? 0 : 1;
-    if (s.record.is_silent || !s.permits.may_send(now)) {
+    if (s.record.is_silent || !s.permits.may_send(now) || unpaused_starts(s, now) == 0) {
       continue; // it has probably stopped, or accepts no request of this instance now
     }
     const double c = cost(s, of, request.is_repeatable, now);
@@ -243,11 +244,12 @@
   server* best = nullptr;
   double best_cost = 0;
   for (auto* s : of.servers) {
-    if (!is_usable(*s, now) || std::ranges::find(tried, s->record.id) != tried.end()) {
+    if (!is_usable(*s, now) || s->pause.holds(now) ||
+        std::ranges::find(tried, s->record.id) != tried.end()) {
       continue;
     }
     if (in_flight(*s) >= s->record.slots + settings_.queued_per_server ||
-        !s->permits.may_send(now)) {
+        !s->permits.may_send(now) || unpaused_starts(*s, now) == 0) {
       is_busy = true;
       continue;
     }
@@ -272,10 +274,14 @@
   if (chosen == nullptr) {
     chosen = find_cheapest(of->second, request, tried, now, is_busy);
   }
+  if (chosen == nullptr && !is_busy && pause_end(request.service, now)) {
+    return board_error::all_paused;
+  }
   if (chosen == nullptr) {
     return is_busy ? board_error::all_busy : board_error::all_tried;
   }
-  chosen->own_requests[request.serial] = {now, request.is_repeatable, false, false};
+  chosen->own_requests[request.serial] = {now, request.is_repeatable, false, false,
+                                          chosen->record.started_ms};
   chosen->permits.take(now);
   note_use(*chosen, now);
   return chosen->record;
@@ -311,6 +317,7 @@
   const bool is_lost = run == s.own_requests.end() || !run->second.is_repeatable;
   const bool is_excused = run != s.own_requests.end() && run->second.is_excused;
   if (run != s.own_requests.end()) {
+    note_pause(s, run->second, a, now);
     s.own_requests.erase(run);
   }
   if (s.record.state == fleet::server_state::gone) {
@@ -336,6 +343,9 @@
     std::erase(services_[s.record.service].servers, &s);
     return;
   }
+  if (a.end == attempt_end::shed && a.pause > base::duration{}) {
+    return; // the pause says more than a count of slots
+  }
   if (a.end == attempt_end::shed) {
     // The server has fewer free slots than known here; the next load report corrects the count.
     s.others_in_flight = std::max(s.others_in_flight, s.record.slots);
@@ -373,14 +383,14 @@
     return healthy;
   }
   for (const auto* s : of->second.servers) {
-    if (!is_usable(*s, now)) {
+    if (!is_usable(*s, now) || s->pause.holds(now)) {
       continue;
     }
     auto& r = is_likely_faulty(*s, now) ? likely_faulty : healthy;
     const auto busy = in_flight(*s);
     r.slots += s->record.slots;
     const auto free = busy < s->record.slots ? s->record.slots - busy : 0;
-    r.free += std::min(free, s->permits.available(now));
+    r.free += std::min({free, s->permits.available(now), unpaused_starts(*s, now)});
     if (of->second.mean_seconds > 0) {
       const double rate = s->record.slots / of->second.mean_seconds;
       r.starts_per_second += std::min(rate, s->permits.limit().value_or(rate));
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -135,6 +135,7 @@
                                          {"sent_here", change.sent}});
     }
   };
+  out.on_pause = [this](const balance::pause_change& change) { note_pause(change); };
   return out;
 }
 
@@ -257,12 +258,22 @@
   turn.rank = rank_of(request);
   turn.latest_start =
       request.deadline - board_.mean_response_time(service).value_or(base::duration{});
+  if (auto refused = refusal_of_pause(service, now)) {
+    board_.note_refused(service, now);
+    done(std::move(*refused));
+    return;
+  }
   gates_[service].enter(turn, capacity_of(service, now), now,
                         [this, service, done = std::move(done)](admission::gate_result refused) {
                           if (!refused) {
                             done(base::success());
                           } else {
-                            board_.note_refused(service, base::clock::now());
+                            const auto at = base::clock::now();
+                            board_.note_refused(service, at);
+                            if (auto paused = refusal_of_pause(service, at)) {
+                              done(std::move(*paused));
+                              return;
+                            }
                             done(not_run(503, "servers_full",
                                          "no server has a free slot before the deadline",
                                          overload_retry_after));
@@ -312,6 +323,10 @@
 
 void entry_traffic::dispatch(const std::string& service, base::time_point now) {
   const auto it = gates_.find(service);
+  if (it != gates_.end() && it->second.waiting() > 0 && board_.pause_end(service, now)) {
+    it->second.refuse_all(admission::gate_refusal::paused);
+    return;
+  }
   // One request at a time, so that each takes its slot before free slots are read again.
   while (it != gates_.end() && it->second.waiting() > 0) {
     auto capacity = capacity_of(service, now);
@@ -342,12 +357,16 @@
                                          request.route->is_repeatable, rank_of(request) == 0};
   auto chosen = board_.begin(selection, tried, now);
   if (!chosen) {
+    if (auto paused = refusal_of_pause(request.service->name, now)) {
+      return std::move(*paused);
+    }
     switch (chosen.error()) {
     case balance::board_error::unknown_service:
       return not_run(503, "no_server", "no server of the service is known", lease_retry_after);
     case balance::board_error::all_tried:
       return not_run(503, "no_other_server", "the request has been tried on every server");
     case balance::board_error::all_busy:
+    case balance::board_error::all_paused:
       break;
     }
     auto busy = not_run(503, "servers_full", "every server is full", overload_retry_after);
--- a/src/node/entry_traffic.h
+++ b/src/node/entry_traffic.h
@@ -68,6 +68,9 @@
   void dispatch(const std::string& service, base::time_point now);
   void receive_permits(std::string_view from, std::string_view body, base::time_point now);
   void send_report(base::time_point now);
+  void note_pause(const balance::pause_change& change);
+  std::optional<proxy::refusal> refusal_of_pause(const std::string& service,
+                                                 base::time_point now) const;
   void log_suspicions(base::time_point now);
   void record_refusal(const proxy::request_head& head, const proxy::refusal& r,
                       const std::vector<std::string>& tried);
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -319,6 +319,7 @@
       }
       end_ = end_of_status();
       note_server_limit();
+      note_server_pause();
       co_return true;
     }
     // Interim answers are not forwarded: the entry itself sends 100 to the caller.
@@ -533,6 +534,7 @@
   a.was_reused = was_reused_;
   a.limit = limit_;
   a.server_limit = server_limit_;
+  a.pause = pause_;
   return a;
 }
 
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -96,6 +96,7 @@
   void release(bool is_reusable);
   health::attempt_end end_of_status() const;
   void note_server_limit();
+  void note_server_pause();
 
   std::shared_ptr<entry_context> context_owner_; ///< a cancelled try may outlive the session
   entry_context& context_;
@@ -113,6 +114,7 @@
   std::uint64_t answer_body_bytes_ = 0; ///< read so far
   health::limit_notice limit_ = health::limit_notice::unknown;
   double server_limit_ = 0;
+  base::duration pause_{}; ///< asked for by the server
   std::optional<base::time_point> silent_since_;
   base::time_point started_;
   base::time_point sent_at_;
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -135,6 +135,8 @@
   if (!picked) {
     if (!failure_) {
       failure_ = picked.error();
+    } else if (failure_->status == 503 && !failure_->retry_after) {
+      failure_->retry_after = picked.error().retry_after;
     }
     return false;
   }
--- a/tests/admission/service_gate_test.cpp
+++ b/tests/admission/service_gate_test.cpp
@@ -46,6 +46,18 @@
   CHECK(gate.waiting() == 0);
 }
 
+// Guards against requests that wait while every server has asked for a pause.
+TEST_CASE("all waiting requests are refused when the servers are paused") {
+  service_gate gate;
+  gate_log log;
+  gate.enter(request(2, 1000), {0, 0}, start, log.note("a"));
+  gate.enter(request(1, 1000), {0, 0}, start, log.note("b"));
+  gate.refuse_all(gate_refusal::paused);
+  CHECK(log.refused == std::vector<std::string>{"b", "a"});
+  CHECK(log.passed.empty());
+  CHECK(gate.waiting() == 0);
+}
+
 TEST_CASE("a full queue drops its lowest-ranked request for a higher-ranked one") {
   service_gate gate(gate_settings{2});
   gate_log log;
