--- a/include/kingcupshunt/health/attempt.h
+++ b/include/kingcupshunt/health/attempt.h
@@ -48,6 +48,8 @@
   limit_notice limit = limit_notice::unknown;
   double server_limit = 0; ///< requests per second from all instances together, when `limited`
   bool is_leaving = false; ///< an answer to it said that its server leaves
+  /// Time for which the server wants no request, from its 503 with Retry-After. Zero: none.
+  base::duration pause{};
 };
 
 } // namespace kingcupshunt::health
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -352,6 +352,7 @@
       end_ = end_of_status();
       note_server_limit();
       note_server_leaving();
+      note_server_pause();
       co_return true;
     }
     note_server_leaving();
@@ -527,6 +528,7 @@
   a.limit = limit_;
   a.server_limit = server_limit_;
   a.is_leaving = is_leaving_;
+  a.pause = pause_;
   return a;
 }
 
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -98,6 +98,7 @@
   health::attempt_end end_of_status() const;
   void note_server_limit();
   void note_server_leaving(); // exchange_notices.cpp
+  void note_server_pause();
 
   std::shared_ptr<entry_context> context_owner_; ///< a cancelled try may outlive the session
   entry_context& context_;
@@ -116,6 +117,7 @@
   health::limit_notice limit_ = health::limit_notice::unknown;
   double server_limit_ = 0;
   bool is_leaving_ = false;
+  base::duration pause_{}; ///< asked for by the server
   std::optional<base::time_point> silent_since_;
   base::time_point started_;
   base::time_point sent_at_;
