Split connection set-up, notices and log lines off two large files

Connection set-up and what answers say about their servers, the ways to the servers and the log lines are moved as they were.

--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -30,9 +30,6 @@
 constexpr base::milliseconds min_start_retry_after{250};
 constexpr base::milliseconds overload_retry_after{400}; // about two typical request times
 constexpr base::seconds suspect_retry_after{30};
-constexpr base::milliseconds suspicion_interval{250};
-constexpr double log_rate = 40;   // request log lines per second
-constexpr double log_burst = 200; // request log lines
 
 refusal not_run(unsigned status, std::string reason, std::string message,
                 std::optional<base::milliseconds> retry_after = std::nullopt) {
@@ -290,46 +287,6 @@
                         });
 }
 
-/// Tunnels are used in turn, so that one entry that has lost its path as well costs one attempt.
-proxy::connection_plan entry_traffic::plan_connection() {
-  const auto now = base::clock::now();
-  const auto& tunnels = link_.tunnels();
-  proxy::connection_plan out;
-  out.is_direct_first = path_.is_direct_next(now);
-  if (!tunnels.empty()) {
-    out.tunnel = tunnels[++next_tunnel_ % tunnels.size()];
-  }
-  return out;
-}
-
-void entry_traffic::note_connection(const proxy::connection_outcome& outcome) {
-  const auto now = base::clock::now();
-  const bool was_cut_off = path_.is_cut_off();
-  if (!outcome.failed_tunnel.empty()) {
-    link_.drop_tunnel(outcome.failed_tunnel);
-  }
-  if (outcome.is_connected && !outcome.is_tunnelled) {
-    path_.direct_connected(outcome.upstream, now);
-  } else if (outcome.has_direct_failed && outcome.is_tunnelled) {
-    path_.direct_failed(now);
-    path_.only_tunnel_connected(outcome.upstream, now);
-  } else if (outcome.has_direct_failed) {
-    path_.direct_failed(now);
-  }
-  if (path_.is_cut_off() == was_cut_off) {
-    return;
-  }
-  observe::log_warning("server_path", {{"is_cut_off", path_.is_cut_off()},
-                                       {"server", outcome.upstream},
-                                       {"tunnels", link_.tunnels().size()}});
-  runtime_.metrics.count("server_path_changes_total", path_.is_cut_off() ? "lost" : "regained");
-  if (path_.is_cut_off()) {
-    board_.excuse_running();
-  }
-  link_.query_now();
-  on_path_change_();
-}
-
 void entry_traffic::dispatch(const std::string& service, base::time_point now) {
   const auto it = gates_.find(service);
   if (it != gates_.end() && it->second.waiting() > 0 && board_.pause_end(service, now)) {
@@ -543,30 +500,6 @@
   }
 }
 
-/// Writes a line when most servers of a service become suspected or stop being so: the fault is
-/// then more likely in the service, in the network or in this instance than in single servers.
-void entry_traffic::log_suspicions(base::time_point now) {
-  if (now < suspicions_at_) {
-    return;
-  }
-  suspicions_at_ = now + suspicion_interval;
-  for (const auto& [service, s] : board_.suspicions(now)) {
-    auto& was_mostly = is_mostly_suspected_[service];
-    const bool is_mostly = 2 * s.suspected > s.usable;
-    if (is_mostly == was_mostly) {
-      continue;
-    }
-    was_mostly = is_mostly;
-    const auto since = std::exchange(failures_, {});
-    observe::log_info("servers_suspected", {{"service", service},
-                                            {"is_most", is_mostly},
-                                            {"suspected", s.suspected},
-                                            {"usable", s.usable},
-                                            {"failures_here", since.own},
-                                            {"failures_elsewhere", since.others}});
-  }
-}
-
 void entry_traffic::tick(base::time_point now) {
   if (!start_gate_.is_open() && link_.has_document() && link_.is_fresh()) {
     start_gate_.open();
@@ -582,46 +515,4 @@
   crashes_.expire(now);
 }
 
-/// Limits the log lines about refusals, which are frequent during faults. Metrics count all of
-/// them.
-bool entry_traffic::may_log(base::time_point now) {
-  log_tokens_ =
-      std::min(log_burst, log_tokens_ + log_rate * base::to_seconds(now - log_tokens_at_));
-  log_tokens_at_ = now;
-  if (log_tokens_ < 1) {
-    ++log_dropped_;
-    return false;
-  }
-  log_tokens_ -= 1;
-  if (log_dropped_ > 0) {
-    observe::log_warning("log_lines_dropped", {{"count", std::exchange(log_dropped_, 0)}});
-  }
-  return true;
-}
-
-void entry_traffic::record_refusal(const proxy::request_head& head, const refusal& r,
-                                   const std::vector<std::string>& tried) {
-  const auto now = base::clock::now();
-  if (!may_log(now)) {
-    return;
-  }
-  std::string servers;
-  for (const auto& id : tried) {
-    servers += (servers.empty() ? "" : ",") + id;
-  }
-  observe::log_info("request_refused",
-                    {{"request_id", head.request_id},
-                     {"host", head.host},
-                     {"path", head.path},
-                     {"tried", servers},
-                     {"held_ms", base::to_ms(now - head.arrival_time)},
-                     {"connection_serial", head.connection_serial},
-                     {"ran", proxy::to_string(r.ran)},
-                     {"status", r.status},
-                     {"reason", r.reason},
-                     {"version", link_.version()},
-                     {"is_fresh", link_.is_fresh()},
-                     {"retry_after_ms", r.retry_after ? r.retry_after->count() : 0}});
-}
-
 } // namespace kingcupshunt::node
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -147,82 +147,6 @@
   co_await collect();
 }
 
-/// Establishes the connection as planned, and the other way when that fails. Both ways together
-/// take at most twice the connect timeout.
-awaitable<bool> exchange::connect() {
-  if (was_reused_) {
-    connection_->stream->expires_at(wait_limit());
-    co_return true;
-  }
-  const auto& hook = context_.hook;
-  const auto plan = hook.plan_connection ? hook.plan_connection(target_.id) : connection_plan{};
-  const bool has_tunnel = !plan.tunnel.empty();
-  connection_outcome outcome;
-  outcome.upstream = target_.id;
-  const auto now = base::clock::now();
-  const auto timeout = context_.settings.connect_timeout;
-  if (plan.is_direct_first || !has_tunnel) {
-    const auto head_start = has_tunnel ? context_.settings.direct_head_start : timeout;
-    outcome.is_connected = co_await connect_directly(now + head_start);
-    outcome.has_direct_failed = !outcome.is_connected;
-  }
-  if (!outcome.is_connected && has_tunnel && !is_cancelled_) {
-    outcome.is_connected = co_await connect_through(plan.tunnel, base::clock::now() + timeout);
-    outcome.is_tunnelled = outcome.is_connected;
-    outcome.failed_tunnel = outcome.is_connected ? std::string{} : plan.tunnel;
-  }
-  if (!outcome.is_connected && !outcome.has_direct_failed && !is_cancelled_) {
-    outcome.is_connected =
-        co_await connect_directly(base::clock::now() + context_.settings.direct_head_start);
-    outcome.has_direct_failed = !outcome.is_connected;
-  }
-  if (is_cancelled_) {
-    co_return false;
-  }
-  if (hook.note_connection) {
-    hook.note_connection(outcome);
-  }
-  if (!outcome.is_connected) {
-    end_ = attempt_end::connect_failed;
-    co_return false;
-  }
-  connection_->is_tunnelled = outcome.is_tunnelled;
-  connection_->stream->expires_at(wait_limit());
-  co_return true;
-}
-
-awaitable<bool> exchange::connect_directly(base::time_point until) {
-  connection_->stream = std::make_shared<timed_socket>(tcp::socket(context_.executor));
-  const auto stream = connection_->stream;
-  stream->expires_at(std::min(request_->deadline, until));
-  error_code ec;
-  const auto address = asio::ip::make_address(target_.address, ec);
-  if (!ec) {
-    ec = co_await stream->connect(tcp::endpoint(address, target_.port));
-  }
-  if (ec) {
-    stream->close();
-  }
-  co_return !ec;
-}
-
-awaitable<bool> exchange::connect_through(const std::string& tunnel, base::time_point until) {
-  connection_->stream = std::make_shared<timed_socket>(tcp::socket(context_.executor));
-  const auto stream = connection_->stream;
-  stream->expires_at(std::min(request_->deadline, until));
-  const bool is_open =
-      co_await open_tunnel(*stream, context_.settings.tunnel_handshake, tunnel, target_.id);
-  if (!is_open) {
-    stream->close();
-  }
-  context_.metrics.count("tunnelled_connections_total", is_open ? "opened" : "failed");
-  co_return is_open;
-}
-
-base::time_point exchange::wait_limit() const {
-  return request_->deadline + context_.settings.answer_grace;
-}
-
 awaitable<bool> exchange::send() {
   const auto stream = connection_->stream;
   const auto left = request_->deadline - base::clock::now();
@@ -396,26 +320,6 @@
   return answer().result_int() >= 500 ? attempt_end::error_status : attempt_end::ok;
 }
 
-/// Reads the limit that the answer states for its server. A failure without one says nothing, since
-/// a server in trouble may omit the field.
-void exchange::note_server_limit() {
-  const auto& name = context_.settings.names.server_limit;
-  if (name.empty()) {
-    return;
-  }
-  if (answer().count(name) == 0) {
-    limit_ = end_ == attempt_end::ok ? health::limit_notice::none : health::limit_notice::unknown;
-    return;
-  }
-  if (const auto limit = server_limit_of({answer()[name].data(), answer()[name].size()})) {
-    limit_ = health::limit_notice::limited;
-    server_limit_ = *limit;
-  } else {
-    limit_ = health::limit_notice::unknown;
-    context_.metrics.count("upstream_limits_unreadable_total");
-  }
-}
-
 std::optional<std::uint64_t> exchange::answer_length() const {
   const auto text = answer()[http::field::content_length];
   if (text.empty()) {
--- a/src/proxy/exchange_notices.cpp
+++ b/src/proxy/exchange_notices.cpp
@@ -2,8 +2,33 @@
 
 #include "exchange.h"
 
+#include "kingcupshunt/proxy/head_checks.h"
+
 namespace kingcupshunt::proxy {
 
+namespace http = boost::beast::http;
+using health::attempt_end;
+
+/// Reads the limit that the answer states for its server. A failure without one says nothing, since
+/// a server in trouble may omit the field.
+void exchange::note_server_limit() {
+  const auto& name = context_.settings.names.server_limit;
+  if (name.empty()) {
+    return;
+  }
+  if (answer().count(name) == 0) {
+    limit_ = end_ == attempt_end::ok ? health::limit_notice::none : health::limit_notice::unknown;
+    return;
+  }
+  if (const auto limit = server_limit_of({answer()[name].data(), answer()[name].size()})) {
+    limit_ = health::limit_notice::limited;
+    server_limit_ = *limit;
+  } else {
+    limit_ = health::limit_notice::unknown;
+    context_.metrics.count("upstream_limits_unreadable_total");
+  }
+}
+
 /// Reads from the head whether the server leaves; fields after the body are not read. Answers of
 /// another instance say nothing about the intended one.
 void exchange::note_server_leaving() {
