Send nothing new to a leaving server in the fleet of equal instances

Cause: `kingcupshunt run` chooses servers with balance::balancer, which ignored the notice in answers.

Change: the balancer keeps the incarnation that said so and gives it no request, nor the run of a crash suspect; a service without another server answers no_upstream at once. An answer to a request that was sent before the present incarnation was known is ignored. One decision record `server.leaving` and the counter of the entries.

The isolation of crash suspects (traffic_hooks) has no test of its own for this; the queue's limit still counts the slots of a leaving server.

--- a/include/kingcupshunt/balance/balancer.h
+++ b/include/kingcupshunt/balance/balancer.h
@@ -82,6 +82,8 @@
   std::function<std::uint32_t(std::string_view service)> max_connections;
   /// An answer has shown the beginning, a change or the end of a server's limit. May be empty.
   std::function<void(const fleet::limit_note&)> on_limit;
+  /// An answer has said that its server leaves; `in_flight` requests still run there. May be empty.
+  std::function<void(std::string_view server, std::uint32_t in_flight)> on_leaving;
 };
 
 /// Chooses servers and counts the slots that this instance uses.
@@ -104,6 +106,12 @@
   /// Frees the slot of a finished attempt, and marks the server as full when it shed the request.
   void report(const health::attempt& attempt, base::time_point now);
 
+  /// An answer to a request that was sent at `sent` or later said that its server leaves. That
+  /// incarnation of the server gets no further request.
+  void note_leaving(std::string_view service, std::string_view id, base::time_point sent);
+  /// True for a server whose answers say that it leaves.
+  bool is_leaving(std::string_view service, std::string_view id) const;
+
   /// Frees a slot when no attempt was made.
   void release(std::string_view service, std::string_view id);
 
@@ -137,6 +145,8 @@
     bool is_known = true; ///< false: removed from the registry with requests in flight
     bool is_in_subset = true;
     rates::request_permits permits;
+    /// Incarnation whose answers said that it leaves.
+    std::optional<std::uint64_t> left_incarnation;
   };
   struct peer_report {
     base::time_point received{};
@@ -155,6 +165,7 @@
   void recompute(std::string_view name, service_servers& s) const;
   void assign_slots(std::string_view name, service_servers& s) const;
   void choose_subset(std::string_view name, service_servers& s) const;
+  static bool is_leaving(const server& v) noexcept;
   bool can_take(const server& v, const pick_request& request, base::time_point now) const;
   double weight_of(const service_servers& s, const server& v, base::time_point now) const;
   server* pick_weighted(service_servers& s, const pick_request& request, base::time_point now);
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -112,9 +112,9 @@
 }
 
 bool balancer::can_take(const server& v, const pick_request& request, base::time_point now) const {
-  return v.is_known && v.is_in_subset && !v.up.info.is_draining && !v.is_isolated &&
-         v.in_flight < v.up.info.slots && v.full_until <= now && v.permits.may_send(now) &&
-         (!request.is_isolated || v.in_flight == 0) &&
+  return v.is_known && v.is_in_subset && !v.up.info.is_draining && !is_leaving(v) &&
+         !v.is_isolated && v.in_flight < v.up.info.slots && v.full_until <= now &&
+         v.permits.may_send(now) && (!request.is_isolated || v.in_flight == 0) &&
          std::ranges::find(request.tried, v.up.info.id) == request.tried.end();
 }
 
@@ -168,7 +168,7 @@
     return chosen->up.info.id;
   }
   const bool has_any = std::ranges::any_of(s->servers, [&](const server& v) {
-    return v.is_known && v.is_in_subset && !v.up.info.is_draining &&
+    return v.is_known && v.is_in_subset && !v.up.info.is_draining && !is_leaving(v) &&
            std::ranges::find(request.tried, v.up.info.id) == request.tried.end();
   });
   return has_any ? pick_error::all_busy : pick_error::no_upstream;
@@ -234,6 +234,9 @@
 
 void balancer::report(const health::attempt& attempt, base::time_point now) {
   release(attempt.service, attempt.upstream);
+  if (attempt.is_leaving) {
+    note_leaving(attempt.service, attempt.upstream, now - attempt.total);
+  }
   auto* s = find(attempt.service);
   if (s == nullptr) {
     return;
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -85,6 +85,11 @@
                 "per_second=" + std::to_string(note.per_second), 0});
     limits_->observe(note);
   };
+  on_balance.on_leaving = [this](std::string_view server, std::uint32_t in_flight) {
+    rt_.metrics.count("server_leaving_total", "own_answer");
+    rt_.record({"server.leaving", "server", std::string(server), "leaving",
+                "in_flight=" + std::to_string(in_flight), 0});
+  };
   balancer_ = std::make_unique<balance::balancer>(balance, std::move(on_balance));
   balance::limit_exchange_hooks on_exchange;
   on_exchange.send = rt_.send;
--- a/src/node/traffic_hooks.cpp
+++ b/src/node/traffic_hooks.cpp
@@ -105,6 +105,9 @@
   out.report = [this](const proxy::authorized_request& request, const health::attempt& a) {
     report(request, a);
   };
+  out.note_leaving = [this](const proxy::authorized_request& request, const std::string& server) {
+    balancer_->note_leaving(request.service->name, server, *request.turn_started);
+  };
   out.may_retry = [this](const proxy::authorized_request& request, const health::attempt& last) {
     return may_retry(request, last);
   };
@@ -248,6 +251,7 @@
   for (const auto& it : registry_->upstreams(service->second)) {
     const auto& id = it.info.id;
     if (!it.info.is_draining && !it.is_stale && !suspects_->is_isolation_server(id) &&
+        !balancer_->is_leaving(service->second, id) &&
         balancer_->in_flight(service->second, id) == 0) {
       return id;
     }
