Hold back paused servers in the fleet of equal instances too

Cause: `kingcupshunt run` waited 20 ms after a server's refusal whatever its Retry-After said.

Change: balancer keeps the pause of each server's incarnation as server_board does: no pick until its end, then one request alone; paused servers isolate no crash suspects. When all usable servers are paused, the request that asks for a server is refused with the earliest end.

Not covered here: the fair queue does not count on pauses, active probes still reach a paused server, and an answer of a former incarnation that comes after its successor is known pauses the successor.

The wiring in traffic.cpp and traffic_hooks.cpp has no test of its own and was not run.

--- a/include/kingcupshunt/balance/balancer.h
+++ b/include/kingcupshunt/balance/balancer.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "kingcupshunt/balance/server_pause.h"
 #include "kingcupshunt/base/result.h"
 #include "kingcupshunt/base/rng.h"
 #include "kingcupshunt/base/time.h"
@@ -71,6 +72,8 @@
   selection method = selection::slot_share;
   base::duration slow_start = base::seconds(10);
   base::duration full_backoff = base::milliseconds(20); ///< pause after a server has shed a request
+  /// Random part of the end of a server's pause, so that not all instances return at once.
+  base::duration pause_spread = base::milliseconds(100);
   base::duration report_interval = base::milliseconds(100);
   std::size_t min_subset = 4;
   std::size_t connections_per_instance = 4; ///< of one instance to a server of its subset
@@ -82,6 +85,8 @@
   std::function<std::uint32_t(std::string_view service)> max_connections;
   /// An answer has shown the beginning, a change or the end of a server's limit. May be empty.
   std::function<void(const fleet::limit_note&)> on_limit;
+  /// A server has asked this instance for a pause or extended it. May be empty.
+  std::function<void(const pause_change&)> on_pause;
 };
 
 /// Chooses servers and counts the slots that this instance uses.
@@ -121,6 +126,10 @@
   /// Requests of this instance in flight at a server.
   std::uint32_t in_flight(std::string_view service, std::string_view id) const;
 
+  bool is_paused(std::string_view service, std::string_view id, base::time_point now) const;
+  /// Earliest end of a pause when all usable servers of the service are paused; otherwise empty.
+  std::optional<base::time_point> pause_end(std::string_view service, base::time_point now) const;
+
   /// Ids of the servers that this instance uses for the service.
   std::vector<std::string> subset(std::string_view service) const;
 
@@ -137,6 +146,8 @@
     bool is_known = true; ///< false: removed from the registry with requests in flight
     bool is_in_subset = true;
     rates::request_permits permits;
+    server_pause pause;
+    base::time_point sent_at{}; ///< when a request last took a slot
   };
   struct peer_report {
     base::time_point received{};
@@ -152,6 +163,8 @@
   service_servers* find(std::string_view service);
   server* find_server(std::string_view id);
   void note_limit(server& v, const health::attempt& attempt) const;
+  void note_pause(server& v, const health::attempt& attempt, base::time_point now);
+  static bool may_start(const server& v, base::time_point now) noexcept;
   void recompute(std::string_view name, service_servers& s) const;
   void assign_slots(std::string_view name, service_servers& s) const;
   void choose_subset(std::string_view name, service_servers& s) const;
--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -116,13 +115,6 @@
   std::uint64_t sent = 0; ///< requests of this instance since the limit began
 };
 
-/// A server asked this instance for a pause or extended it.
-struct pause_change {
-  std::string_view server;
-  base::duration pause{};
-  std::size_t in_flight = 0; ///< requests of this instance there
-};
-
 /// How many servers of a service may be used, and how many of these are suspected to be faulty.
 struct service_suspicion {
   std::uint32_t usable = 0;
--- a/include/kingcupshunt/balance/server_pause.h
+++ b/include/kingcupshunt/balance/server_pause.h
@@ -1,11 +1,19 @@
 #pragma once
 
-#include <algorithm>
+#include <cstddef>
+#include <string_view>
 
 #include "kingcupshunt/base/time.h"
 
 namespace kingcupshunt::balance {
 
+/// A server asked this instance for a pause or extended it.
+struct pause_change {
+  std::string_view server;
+  base::duration pause{};
+  std::size_t in_flight = 0; ///< requests of this instance there
+};
+
 /// Pause that a server asked this instance for. The first request after it goes alone until it is
 /// answered. The pause is timed by the steady clock: a suspension of the machine only extends it.
 class server_pause {
--- a/src/balance/balancer.cpp
+++ b/src/balance/balancer.cpp
@@ -64,6 +64,7 @@
     server v = old != s.servers.end() ? *old : server{};
     if (v.up.info.incarnation != up.info.incarnation) {
       v.permits = {};
+      v.pause = {};
     }
     v.up = up;
     v.is_known = true;
@@ -114,7 +115,7 @@
 bool balancer::can_take(const server& v, const pick_request& request, base::time_point now) const {
   return v.is_known && v.is_in_subset && !v.up.info.is_draining && !v.is_isolated &&
          v.in_flight < v.up.info.slots && v.full_until <= now && v.permits.may_send(now) &&
-         (!request.is_isolated || v.in_flight == 0) &&
+         may_start(v, now) && (!request.is_isolated || v.in_flight == 0) &&
          std::ranges::find(request.tried, v.up.info.id) == request.tried.end();
 }
 
@@ -164,6 +165,7 @@
   if (chosen != nullptr) {
     ++chosen->in_flight;
     chosen->permits.take(now);
+    chosen->sent_at = now;
     chosen->is_isolated = request.is_isolated;
     return chosen->up.info.id;
   }
@@ -243,6 +245,7 @@
       continue;
     }
     note_limit(v, attempt);
+    note_pause(v, attempt, now);
     if (attempt.end == health::attempt_end::shed) {
       v.full_until = now + settings_.full_backoff;
     }
--- a/src/node/traffic.cpp
+++ b/src/node/traffic.cpp
@@ -85,6 +85,13 @@
                 "per_second=" + std::to_string(note.per_second), 0});
     limits_->observe(note);
   };
+  on_balance.on_pause = [this](const balance::pause_change& change) {
+    rt_.metrics.count("server_pauses_total", "own_answer");
+    rt_.record({"server.paused", "server", std::string(change.server), "own_answer",
+                "for_ms=" + std::to_string(base::to_ms(change.pause)) +
+                    " in_flight=" + std::to_string(change.in_flight),
+                0});
+  };
   balancer_ = std::make_unique<balance::balancer>(balance, std::move(on_balance));
   balance::limit_exchange_hooks on_exchange;
   on_exchange.send = rt_.send;
--- a/src/node/traffic_hooks.cpp
+++ b/src/node/traffic_hooks.cpp
@@ -248,7 +248,8 @@
   for (const auto& it : registry_->upstreams(service->second)) {
     const auto& id = it.info.id;
     if (!it.info.is_draining && !it.is_stale && !suspects_->is_isolation_server(id) &&
-        balancer_->in_flight(service->second, id) == 0) {
+        balancer_->in_flight(service->second, id) == 0 &&
+        !balancer_->is_paused(service->second, id, base::clock::now())) {
       return id;
     }
   }
@@ -304,6 +305,10 @@
     if (!isolated.empty()) {
       suspects_->abandon(fingerprint, now);
     }
+    if (const auto end = balancer_->pause_end(request.service->name, now)) {
+      return not_run(503, "servers_paused", "every server has asked for a pause",
+                     std::chrono::ceil<base::milliseconds>(*end - now));
+    }
     if (picked.error() == balance::pick_error::all_busy) {
       auto busy = not_run(503, "upstreams_busy", "all backend servers of the service are full",
                           busy_retry_after);
