--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -123,13 +122,6 @@
   std::size_t in_flight = 0; ///< other requests of this instance that still run there
 };
 
-/// A server asked this instance for a pause or extended it.
-struct pause_change {
-  std::string_view server;
-  base::duration pause{};
-  std::size_t in_flight = 0; ///< requests of this instance there
-};
-
 /// How many servers of a service may be used, and how many of these are suspected to be faulty.
 struct service_suspicion {
   std::uint32_t usable = 0;
