--- a/include/kingcupshunt/proxy/entry_server.h
+++ b/include/kingcupshunt/proxy/entry_server.h
@@ -62,7 +62,7 @@
 
   /// Begins a planned stop unless one has begun. Stops accepting connections, closes idle ones,
   /// lets requests in flight finish until `deadline`, closes the remaining connections and calls
-  /// `done` with their number.
+  /// `done` with the number of those that got no answer.
   void stop(base::time_point deadline, std::function<void(std::size_t aborted)> done);
 
   /// Number of open caller connections.
--- a/src/proxy/entry_server.cpp
+++ b/src/proxy/entry_server.cpp
@@ -146,6 +146,8 @@
     co_await wait(std::min(deadline, base::clock::now() + stop_poll_interval));
   }
   const auto rest = std::vector<std::shared_ptr<session>>(sessions.begin(), sessions.end());
+  const auto cut = static_cast<std::size_t>(
+      std::ranges::count_if(rest, [](const auto& s) { return !s->is_draining(); }));
   for (const auto& s : rest) {
     s->abort();
   }
@@ -153,8 +155,8 @@
     co_await wait(base::clock::now() + stop_poll_interval);
   }
   close();
-  observe::log_info("entry_stopped", {{"connections_cut", rest.size()}});
-  done(rest.size());
+  observe::log_info("entry_stopped", {{"connections_cut", cut}});
+  done(cut);
 }
 
 void entry_server::impl::close() {
--- a/src/proxy/exchange_connect.cpp
+++ b/src/proxy/exchange_connect.cpp
@@ -1,7 +1,5 @@
 // How a try reaches its upstream: directly or through another instance.
 
-#include <utility>
-
 #include "exchange.h"
 
 #include <algorithm>
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -37,6 +37,7 @@
   if (caller_->is_disconnected) {
     caller_->stream->close();
   } else {
+    is_draining_ = true;
     co_await drain_and_close(*caller_, settings.max_drain_bytes, settings.drain_timeout);
   }
 }
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -18,6 +18,8 @@
   awaitable<void> run();
 
   bool is_idle() const noexcept { return is_idle_; }
+  /// True when the last answer was sent and the caller has yet to close the connection.
+  bool is_draining() const noexcept { return is_draining_; }
 
   /// Lets a waiting request notice that a stop has begun.
   void wake();
@@ -35,6 +37,7 @@
   std::shared_ptr<entry_context> context_;
   std::shared_ptr<caller_connection> caller_;
   bool is_idle_ = true;
+  bool is_draining_ = false;
 };
 
 } // namespace kingcupshunt::proxy
