Serve downloads, and requests sent before the answer to the one before

A session reads ahead, serves repeatable requests beside those before them (at most max_pipelined_requests) and answers in order; a request that may run once, or whose body is still to be read, is served alone. Time limits count from the arrival of the head. Bodies of answers share max_answer_memory_bytes, in the entry role an eighth of the process's memory; collected bodies are read in place, which halves their memory.

--- a/include/kingcupshunt/config/entities.h
+++ b/include/kingcupshunt/config/entities.h
@@ -13,6 +13,18 @@
 /// Order in which requests of one service are served under overload.
 enum class request_class : std::uint8_t { critical, normal, deferrable };
 
+/// What may be done with the requests of a route.
+enum class request_kind : std::uint8_t {
+  repeatable, ///< may run more than once
+  download,   ///< repeatable, with answers too large to be held as a whole
+  once,       ///< runs at most once for each attempt of its caller
+  keyed_once  ///< runs at most once for an idempotency key, over all attempts
+};
+
+constexpr bool is_repeatable(request_kind kind) noexcept {
+  return kind == request_kind::repeatable || kind == request_kind::download;
+}
+
 struct service {
   std::string name;
   double floor = 0.5; ///< share of the announced capacity that ejection never goes below, 0 to 1
@@ -37,10 +49,7 @@
   std::string prefix;               ///< path prefix by whole segments, starts with '/'
   std::vector<std::string> methods; ///< empty: any method
   bool is_open = false;             ///< served without a key
-  bool is_repeatable = true;        ///< false: at most once for an idempotency key
-  /// False: a request that may not be repeated runs at most once for each attempt of its caller,
-  /// and no key that spans attempts is asked for.
-  bool needs_idempotency_key = true;
+  request_kind kind = request_kind::repeatable;
   bool is_hedged = false; ///< a late lookup may be sent a second time
   request_class priority = request_class::normal;
   base::milliseconds timeout{0};           ///< 0: the service's timeout
@@ -48,6 +57,8 @@
   std::uint32_t max_tries = 0;             ///< upstreams of one request, 0: the entry's setting
   std::uint32_t rank = 1;                  ///< 0 is served first when a service is short of room
   std::uint64_t body_limit = 64ULL << 20U; ///< bytes
+
+  bool is_repeatable() const noexcept { return config::is_repeatable(kind); }
 };
 
 struct workspace {
--- a/include/kingcupshunt/config/object_reader.h
+++ b/include/kingcupshunt/config/object_reader.h
@@ -32,6 +32,7 @@
   void read_class(std::string_view name, request_class& out);
   void read_json(std::string_view name, nlohmann::json& out);
   void require(std::string_view name);
+  bool has(std::string_view name) const;
 
   /// Records an error unless there already is one.
   void fail(error_code code, std::string_view name, std::string detail);
--- a/include/kingcupshunt/proxy/entry_settings.h
+++ b/include/kingcupshunt/proxy/entry_settings.h
@@ -27,8 +27,17 @@
   std::size_t max_skipped_answer_bytes = std::size_t{256} * 1024;
   unsigned max_interim_answers = 16; ///< answers with a status below 200 before the final one
   std::size_t max_replay_bytes = std::size_t{64} * 1024; ///< largest request body kept for retries
+  /// Chunked bodies are read whole, up to max_replay_bytes, so that the request can be repeated.
+  bool must_read_chunked_whole = false;
+  /// Requests of one connection that are served at once, in the order of their answers.
+  std::size_t max_pipelined_requests = 8;
+  /// Bytes of later requests that are read before a connection's present one is answered. Beyond
+  /// this its socket is not read.
+  std::size_t max_read_ahead_bytes = std::size_t{16} * 1024;
   std::size_t max_stored_answer_bytes =
-      std::size_t{64} * 1024;                            ///< largest answer stored for resends
+      std::size_t{64} * 1024; ///< largest answer stored for resends
+  /// Bodies of all answers on their way. Short of it, answers are passed on as they arrive.
+  std::size_t max_answer_memory_bytes = std::size_t{64} << 20U;
   std::size_t max_drain_bytes = std::size_t{256} * 1024; ///< read from the rest of a refused body
   unsigned max_tries = 4;                                ///< tries of one request, including hedges
 
--- a/include/kingcupshunt/proxy/request_head.h
+++ b/include/kingcupshunt/proxy/request_head.h
@@ -21,7 +21,7 @@
   std::optional<std::string> idempotency_key;
   std::optional<std::uint64_t> content_length;      ///< empty: chunked or no body
   std::optional<base::milliseconds> caller_timeout; ///< time the caller waits, when stated
-  base::time_point arrival_time{};                  ///< when the head was read
+  base::time_point arrival_time{};                  ///< when the whole head had arrived
   std::uint64_t connection_serial = 0;              ///< 1: the first request of its connection
 };
 
--- a/include/kingcupshunt/settings/role_settings.h
+++ b/include/kingcupshunt/settings/role_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -41,6 +42,7 @@
   listen_address directory;       ///< control: callers that ask for entries
   listen_address tunnel;          ///< entry: other entries that cannot reach backend servers
   listen_address metrics;
+  std::size_t memory_bytes = 0; ///< the process is killed beyond this; 0: not known
   role_bounds bounds;
 };
 
--- a/src/config/entity_reader.cpp
+++ b/src/config/entity_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "kind_names.h"
 #include "kingcupshunt/config/object_reader.h"
 
 namespace kingcupshunt::config {
@@ -49,6 +50,38 @@
   }
 }
 
+/// Reads `kind`, or the two members that say the same in documents from before there were
+/// downloads. Where both are stated they must agree: a later file may state either.
+void read_kind(object_reader& reader, request_kind& out) {
+  std::string name;
+  bool is_repeatable = true;
+  bool needs_key = true;
+  reader.read("kind", name);
+  reader.read("is_repeatable", is_repeatable);
+  reader.read("needs_idempotency_key", needs_key);
+  if (!reader.has("kind")) {
+    out = is_repeatable ? request_kind::repeatable
+          : needs_key   ? request_kind::keyed_once
+                        : request_kind::once;
+    return;
+  }
+  const auto kind = kind_named(name);
+  if (!kind) {
+    reader.fail(error_code::out_of_range, "kind",
+                "found \"" + name + "\", allowed is repeatable, download, once or keyed_once");
+    return;
+  }
+  out = *kind;
+  const bool is_contradicted =
+      (reader.has("is_repeatable") && is_repeatable != config::is_repeatable(out)) ||
+      (reader.has("needs_idempotency_key") && !config::is_repeatable(out) &&
+       needs_key != (out == request_kind::keyed_once));
+  if (is_contradicted) {
+    reader.fail(error_code::out_of_range, "kind",
+                "is_repeatable or needs_idempotency_key says otherwise; state only kind");
+  }
+}
+
 std::string pointer_to(const char* kind, std::string_view name) {
   return std::string("/") + kind + "/" + escape_pointer_token(name);
 }
@@ -94,8 +127,7 @@
   reader.read("prefix", out.prefix);
   reader.read("methods", out.methods);
   reader.read("is_open", out.is_open);
-  reader.read("is_repeatable", out.is_repeatable);
-  reader.read("needs_idempotency_key", out.needs_idempotency_key);
+  read_kind(reader, out.kind);
   reader.read("is_hedged", out.is_hedged);
   reader.read_class("class", out.priority);
   reader.read_ms("timeout_ms", out.timeout, 0, max_timeout_ms);
@@ -109,11 +141,11 @@
   if (!std::ranges::all_of(out.methods, is_method)) {
     reader.fail(error_code::out_of_range, "methods", "a method has letters A-Z only");
   }
-  if (out.is_open && !out.is_repeatable && out.needs_idempotency_key) {
+  if (out.is_open && out.kind == request_kind::keyed_once) {
     reader.fail(error_code::out_of_range, "is_open",
                 "a route that is not repeatable needs a workspace and can't be open");
   }
-  if (out.is_hedged && !out.is_repeatable) {
+  if (out.is_hedged && !out.is_repeatable()) {
     reader.fail(error_code::out_of_range, "is_hedged", "only repeatable routes can be hedged");
   }
   auto done = reader.finish();
--- a/src/config/object_reader.cpp
+++ b/src/config/object_reader.cpp
@@ -53,6 +53,10 @@
        std::string("found ") + found.type_name() + ", allowed is " + allowed);
 }
 
+bool object_reader::has(std::string_view name) const {
+  return object_.is_object() && object_.contains(std::string(name));
+}
+
 const json* object_reader::member(std::string_view name) {
   known_.emplace_back(name);
   if (!object_.is_object()) {
@@ -177,7 +181,7 @@
     out = request_class::normal;
   } else if (text == "deferrable") {
     out = request_class::deferrable;
-  } else if (!text.empty() || (object_.is_object() && object_.contains(std::string(name)))) {
+  } else if (!text.empty() || has(name)) {
     fail(error_code::out_of_range, name,
          "found \"" + text + "\", allowed is critical, normal or deferrable");
   }
--- a/src/config/to_document.cpp
+++ b/src/config/to_document.cpp
@@ -1,5 +1,6 @@
 #include <nlohmann/json.hpp>
 
+#include "kind_names.h"
 #include "kingcupshunt/config/snapshot.h"
 
 namespace kingcupshunt::config {
@@ -34,21 +35,27 @@
   for (const auto& part : r.parts) {
     parts.push_back({{"service", part.service}, {"weight", part.weight}});
   }
-  return {{"service", r.service},
-          {"parts", std::move(parts)},
-          {"host", r.host},
-          {"prefix", r.prefix},
-          {"methods", r.methods},
-          {"is_open", r.is_open},
-          {"is_repeatable", r.is_repeatable},
-          {"needs_idempotency_key", r.needs_idempotency_key},
-          {"is_hedged", r.is_hedged},
-          {"objective_ms", static_cast<std::uint64_t>(r.objective.count())},
-          {"max_tries", r.max_tries},
-          {"rank", r.rank},
-          {"class", name_of(r.priority)},
-          {"timeout_ms", static_cast<std::uint64_t>(r.timeout.count())},
-          {"body_limit", r.body_limit}};
+  json out = {{"service", r.service},
+              {"parts", std::move(parts)},
+              {"host", r.host},
+              {"prefix", r.prefix},
+              {"methods", r.methods},
+              {"is_open", r.is_open},
+              {"is_hedged", r.is_hedged},
+              {"objective_ms", static_cast<std::uint64_t>(r.objective.count())},
+              {"max_tries", r.max_tries},
+              {"rank", r.rank},
+              {"class", name_of(r.priority)},
+              {"timeout_ms", static_cast<std::uint64_t>(r.timeout.count())},
+              {"body_limit", r.body_limit}};
+  // Instances from before there were downloads know only these two members and refuse the other.
+  if (r.kind == request_kind::download) {
+    out["kind"] = name_of(r.kind);
+  } else {
+    out["is_repeatable"] = r.is_repeatable();
+    out["needs_idempotency_key"] = r.kind != request_kind::once;
+  }
+  return out;
 }
 
 json to_json(const workspace& w) {
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -26,6 +26,8 @@
 constexpr base::milliseconds verified_for{1500};   // upstreams close idle connections later
 constexpr base::milliseconds upstream_idle_timeout{4000};
 constexpr std::size_t max_replay_bytes = std::size_t{1} << 20U;
+/// The rest of the process's memory is for connections, their kernel buffers and the server table.
+constexpr std::size_t answer_memory_divisor = 8;
 constexpr std::size_t max_caller_connections = 8000; // of 9,840 file descriptors
 constexpr base::seconds max_request_time{120};
 
@@ -44,7 +46,11 @@
   out.max_connections = max_caller_connections;
   out.max_connections_per_caller = max_caller_connections; // callers may share an address
   out.max_replay_bytes = max_replay_bytes;
+  out.must_read_chunked_whole = true;
   out.max_stored_answer_bytes = max_replay_bytes;
+  if (s.memory_bytes > 0) {
+    out.max_answer_memory_bytes = s.memory_bytes / answer_memory_divisor;
+  }
   out.total_timeout = max_request_time;
   out.connect_timeout = connect_timeout;
   out.verified_for = verified_for;
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -187,7 +187,7 @@
   }
   out.serial = ++serial_;
   const auto timeout = out.route->timeout.count() > 0 ? out.route->timeout : out.service->timeout;
-  out.deadline = now + timeout;
+  out.deadline = head.arrival_time + timeout;
   if (head.caller_timeout) {
     out.deadline = std::min(out.deadline, head.arrival_time + *head.caller_timeout);
   }
@@ -320,7 +320,7 @@
                    suspect_retry_after);
   }
   const balance::board_request selection{request.service->name, request.serial,
-                                         request.route->is_repeatable, rank_of(request) == 0};
+                                         request.route->is_repeatable(), rank_of(request) == 0};
   auto chosen = board_.begin(selection, tried, now);
   if (!chosen) {
     if (auto paused = refusal_of_pause(request.service->name, now)) {
@@ -378,7 +378,7 @@
                               const health::attempt& last) {
   const auto now = base::clock::now();
   const bool is_certain = health::is_certainly_not_run(last.end);
-  if (!request.route->is_repeatable && !is_certain) {
+  if (!request.route->is_repeatable() && !is_certain) {
     return false;
   }
   // A failed connect takes nothing from the retry budget: the request did not reach the upstream.
@@ -391,7 +391,7 @@
 std::optional<base::duration>
 entry_traffic::hedge_delay(const proxy::authorized_request& request) const {
   const auto typical = board_.mean_response_time(request.service->name);
-  if (!request.route->is_repeatable || !typical) {
+  if (!request.route->is_repeatable() || !typical) {
     return std::nullopt;
   }
   const auto delay = std::max<base::duration>(
--- a/src/node/traffic_hooks.cpp
+++ b/src/node/traffic_hooks.cpp
@@ -113,7 +113,7 @@
   };
   out.hedge_delay = [this](const proxy::authorized_request& request) {
     return hedging_->delay(request.route->name, request.route->is_hedged,
-                           request.route->is_repeatable, request.deadline - base::clock::now());
+                           request.route->is_repeatable(), request.deadline - base::clock::now());
   };
   out.reserve = [this](const proxy::request_head& head, const proxy::authorized_request& request,
                        std::uint64_t fingerprint,
@@ -143,7 +143,7 @@
     return not_run(503, "no_service", "the service of the route does not exist");
   }
   const auto timeout = out.route->timeout.count() > 0 ? out.route->timeout : out.service->timeout;
-  out.deadline = now + timeout;
+  out.deadline = head.arrival_time + timeout;
   out.turn_started = std::make_shared<base::time_point>(now);
   if (out.route->is_open) {
     return out;
@@ -159,7 +159,7 @@
     // The key may have been withdrawn or issued without this instance having been notified.
     auto stale =
         not_run(503, "stale_view", "this instance is disconnected from the fleet; use another one");
-    if (!out.route->is_repeatable && head.idempotency_key) {
+    if (!out.route->is_repeatable() && head.idempotency_key) {
       stale.ran = ran_state::unknown; // an earlier attempt with this Idempotency-Key may have run
     }
     return stale;
@@ -269,7 +269,7 @@
     query.service = request.service->name;
     query.route = request.route->name;
     query.tried = tried;
-    query.is_repeatable = request.route->is_repeatable;
+    query.is_repeatable = request.route->is_repeatable();
     auto picked = balancer_->pick(query, now);
     if (!picked || !suspects_->is_isolation_server(picked.value())) {
       return picked;
@@ -294,7 +294,7 @@
   query.route = request.route->name;
   query.tried = others;
   query.is_isolated = true;
-  query.is_repeatable = request.route->is_repeatable;
+  query.is_repeatable = request.route->is_repeatable();
   return balancer_->pick(query, now);
 }
 
@@ -352,7 +352,7 @@
 bool traffic::may_retry(const proxy::authorized_request& request, const health::attempt& last) {
   admission::retry_request retry;
   retry.workspace = request.workspace ? std::string_view(request.workspace->name) : "";
-  retry.is_repeatable = request.route->is_repeatable;
+  retry.is_repeatable = request.route->is_repeatable();
   retry.deadline = request.deadline;
   return retries_->decide(retry, last, base::clock::now()).is_allowed;
 }
--- a/src/proxy/caller_connection.cpp
+++ b/src/proxy/caller_connection.cpp
@@ -9,27 +9,22 @@
 
 namespace {
 
-/// A caller that sends more than this before its answer is treated as disconnected.
-constexpr std::size_t max_early_bytes = std::size_t{64} * 1024;
-
 awaitable<void> watch(std::shared_ptr<caller_connection> caller) {
-  std::size_t early = 0;
-  while (!caller->must_stop_watching) {
-    auto ec = co_await caller->stream->wait_readable();
+  auto& stream = *caller->stream;
+  while (!caller->must_stop_watching && stream.buffered().size() < caller->max_read_ahead) {
+    auto ec = co_await stream.wait_readable();
     if (ec || caller->must_stop_watching) {
       break;
     }
-    std::size_t n = 0;
-    ec = caller->stream->discard_available(n);
+    ec = stream.read_available();
     if (ec == asio::error::would_block) {
       continue;
     }
-    early += n;
-    caller->has_leftover = caller->has_leftover || n > 0;
-    if (ec || early > max_early_bytes) {
+    if (ec) {
       caller->mark_disconnected();
       break;
     }
+    caller->changed.notify();
   }
   caller->is_watching = false;
   caller->watch_ended.notify();
@@ -37,18 +32,31 @@
 
 } // namespace
 
+void caller_connection::finish(const caller_request& r) {
+  const bool was_first = is_first(r);
+  std::erase_if(requests, [&](const auto& other) { return other.get() == &r; });
+  if (was_first && !requests.empty()) {
+    requests.front()->wake->notify();
+  }
+  changed.notify();
+}
+
 void caller_connection::mark_disconnected() {
   is_disconnected = true;
   is_closing = true;
-  if (wake) {
-    wake->notify();
-  }
-  if (on_disconnect) {
-    on_disconnect();
+  for (const auto& r : requests) {
+    r->wake->notify();
+    if (r->on_disconnect) {
+      r->on_disconnect();
+    }
   }
+  changed.notify();
 }
 
 void start_watch(const std::shared_ptr<caller_connection>& caller) {
+  if (caller->is_watching || caller->is_disconnected) {
+    return;
+  }
   caller->must_stop_watching = false;
   caller->is_watching = true;
   asio::co_spawn(
--- a/src/proxy/entry_context.h
+++ b/src/proxy/entry_context.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "kingcupshunt/base/hash.h"
+#include "kingcupshunt/proxy/body_memory.h"
 #include "kingcupshunt/proxy/entry_server.h"
 #include "kingcupshunt/proxy/hooks.h"
 #include "upstream_pool.h"
@@ -17,8 +18,8 @@
 struct entry_context : std::enable_shared_from_this<entry_context> {
   entry_context(const boost::asio::any_io_executor& ex, entry_settings s, hooks h,
                 observe::metrics& m)
-      : executor(ex), settings(std::move(s)), hook(std::move(h)), metrics(m),
-        pool(ex, settings, m) {}
+      : executor(ex), settings(std::move(s)), hook(std::move(h)), metrics(m), pool(ex, settings, m),
+        answer_memory(settings.max_answer_memory_bytes) {}
 
   std::string next_request_id() { return id_prefix + "-" + std::to_string(++last_request); }
 
@@ -27,6 +28,7 @@
   hooks hook;
   observe::metrics& metrics;
   upstream_pool pool;
+  body_memory answer_memory;
   interceptor intercept;
   bool is_stopping = false;
   std::optional<stop_window> stop; ///< set when a planned stop has begun
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -352,15 +352,28 @@
   if (!must_collect) {
     co_return;
   }
-  std::string piece(length ? static_cast<std::size_t>(*length) : std::size_t{16} * 1024, '\0');
-  while (!is_whole_ && collected_body_.size() <= limit) {
-    const auto got = co_await read_more(piece.data(), piece.size());
-    collected_body_.append(piece, 0, got.size);
+  constexpr std::size_t least_piece_bytes = std::size_t{16} * 1024;
+  if (length && !request_->must_store && answer().result_int() < 500) {
+    body_lease_ = context_.answer_memory.take(*length);
+    if (body_lease_.size() == 0) {
+      context_.metrics.count("answers_not_collected_total");
+      co_return;
+    }
+  } else {
+    body_lease_ = context_.answer_memory.take_some(length.value_or(limit), least_piece_bytes);
+  }
+  std::size_t size = 0;
+  while (!is_whole_ && size <= limit) {
+    collected_body_.resize(length ? static_cast<std::size_t>(*length) : size + least_piece_bytes);
+    const auto got =
+        co_await read_more(collected_body_.data() + size, collected_body_.size() - size);
+    size += got.size;
     if (got.state != body_state::more && !is_whole_) {
       has_answer_ = false; // no byte was sent to the caller
       co_return;
     }
   }
+  collected_body_.resize(size);
 }
 
 awaitable<body_piece> exchange::read_more(char* out, std::size_t capacity) {
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -110,6 +110,7 @@
   std::shared_ptr<upstream_connection> connection_;
   std::optional<response_parser> parser_;
   std::string collected_body_;
+  body_memory::lease body_lease_; ///< of collected_body_
   health::attempt_end end_ = health::attempt_end::cancelled;
   std::size_t skipped_bytes_ = 0; ///< of answers to other requests
   unsigned interim_answers_ = 0;
--- a/src/proxy/request_answer.cpp
+++ b/src/proxy/request_answer.cpp
@@ -12,13 +12,24 @@
 namespace {
 
 constexpr std::size_t relay_piece_bytes = std::size_t{64} * 1024;
+/// Size of a piece when the memory for answers is used up.
+constexpr std::size_t least_relay_piece_bytes = std::size_t{4} * 1024;
 
 } // namespace
 
 bool request_handler::must_close() const {
-  const auto& parser = *caller_->parser;
-  return caller_->is_closing || caller_->has_leftover || context_.is_stopping || context_.stop ||
-         !parser.is_done() || !parser.keep_alive() || !caller_->stream->buffered().empty();
+  const auto& parser = request_->parser;
+  // The answers to requests behind this one are still to be sent.
+  return caller_->is_last(*request_) &&
+         (caller_->is_closing || context_.is_stopping || context_.stop || !parser.is_done() ||
+          !parser.keep_alive());
+}
+
+/// Waits until the requests before this one are answered, or the caller has disconnected.
+awaitable<void> request_handler::wait_for_answer_turn() {
+  while (!caller_->is_first(*request_) && !caller_->is_disconnected) {
+    co_await wake_->wait_until(base::time_point::max());
+  }
 }
 
 base::time_point request_handler::write_deadline() const {
@@ -26,15 +37,16 @@
 }
 
 awaitable<void> request_handler::write_to_caller(std::string_view head, std::string_view body) {
-  caller_->is_closing = must_close();
+  caller_->is_closing = caller_->is_closing || must_close();
   if (caller_->is_disconnected) {
     co_return;
   }
   caller_->stream->expires_at(write_deadline());
   const auto ec = co_await caller_->stream->write(head, body);
   if (ec) {
-    caller_->is_disconnected = true;
-    caller_->is_closing = true;
+    caller_->mark_disconnected();
+  } else {
+    caller_->stream->expires_at(base::time_point::max());
   }
   co_return;
 }
@@ -76,9 +88,11 @@
   if (context_.hook.on_refusal) {
     context_.hook.on_refusal(head_, r, tried_);
   }
+  co_await wait_for_answer_turn();
   // After invalid framing the start of the next request is unknown.
   const bool is_framing_uncertain = r.status == 400 || r.status == 501 || r.status == 505;
-  caller_->is_closing = is_framing_uncertain || must_close();
+  caller_->is_closing =
+      caller_->is_closing || must_close() || (is_framing_uncertain && !request_->may_be_followed);
   if (caller_->is_disconnected) {
     caller_->is_closing = true;
     co_return;
@@ -109,6 +123,7 @@
 }
 
 awaitable<void> request_handler::deliver_stored(const stored_answer& answer) {
+  co_await wait_for_answer_turn();
   response_header fields;
   fields.result(answer.status);
   if (!answer.content_type.empty()) {
@@ -129,6 +144,7 @@
   }
   settle_reservation(ex.get());
   report(*ex);
+  co_await wait_for_answer_turn();
   body_framing framing{false, ex->collected_body().size()};
   if (ex->is_bodyless()) {
     framing =
@@ -146,19 +162,21 @@
 awaitable<void> request_handler::deliver_rest(const exchange_ptr& ex) {
   const body_framing framing{!ex->answer_length(), ex->answer_length()};
   const bool is_reserved = reservation_.has_value();
-  caller_->on_disconnect = [this, ex, is_reserved] {
+  request_->on_disconnect = [this, ex, is_reserved] {
     if (!is_reserved || caller_->is_aborted) {
       ex->cancel();
     }
   };
+  co_await wait_for_answer_turn();
   const auto head =
       caller_head(ex->answer(), framing, head_.request_id, must_close(), context_.settings.names);
   co_await write_to_caller(head, {});
   std::string piece = ex->collected_body();
   std::size_t size = piece.size();
-  piece.resize(std::max(piece.size(), relay_piece_bytes));
+  const auto lease = context_.answer_memory.take_some(relay_piece_bytes, least_relay_piece_bytes);
+  piece.resize(std::max(piece.size(), lease.size()));
   auto state = body_state::more;
-  caller_->stream->expires_at(auth_.deadline);
+  caller_->stream->expires_at(write_deadline());
   for (;;) {
     if (!caller_->is_disconnected && (size > 0 || state == body_state::done)) {
       const std::string_view data{piece.data(), size};
@@ -173,7 +191,9 @@
       } else {
         ec = co_await caller_->stream->write("0\r\n\r\n");
       }
-      caller_->is_disconnected = caller_->is_disconnected || ec.failed();
+      if (ec) {
+        caller_->mark_disconnected();
+      }
     }
     const bool is_ended = state != body_state::more || caller_->is_aborted ||
                           (caller_->is_disconnected && !is_reserved);
@@ -184,16 +204,18 @@
     size = got.size;
     state = got.state;
   }
-  caller_->on_disconnect = nullptr;
+  request_->on_disconnect = nullptr;
   if (state != body_state::done) {
     // Closing the connection within the body shows the caller that the answer is incomplete.
-    caller_->is_disconnected = true;
+    caller_->is_cut = !caller_->is_disconnected;
+    caller_->mark_disconnected();
     context_.metrics.count("answers_cut_total", health::to_string(ex->end()));
     if (state == body_state::more) {
       ex->cancel();
     }
   }
   caller_->is_closing = caller_->is_closing || caller_->is_disconnected;
+  caller_->stream->expires_at(base::time_point::max());
   // The body was forwarded without being stored, so the key keeps the state "may have run".
   settle_reservation(ex->end() == attempt_end::shed ? ex.get() : nullptr);
   report(*ex);
--- a/src/proxy/request_body.cpp
+++ b/src/proxy/request_body.cpp
@@ -37,7 +37,7 @@
   while (!is_last && !must_stop_pump_) {
     is_reading_body_ = true;
     const auto got =
-        co_await read_body(*caller_->stream, *caller_->parser, piece.data(), piece.size());
+        co_await read_body(*caller_->stream, request_->parser, piece.data(), piece.size());
     is_reading_body_ = false;
     if (must_stop_pump_) {
       break;
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -30,11 +30,10 @@
 
 } // namespace
 
-request_handler::request_handler(entry_context& context, std::shared_ptr<caller_connection> caller)
-    : context_(context), caller_(std::move(caller)),
-      wake_(std::make_shared<event>(context.executor)) {
-  caller_->wake = wake_;
-}
+request_handler::request_handler(entry_context& context, std::shared_ptr<caller_connection> caller,
+                                 std::shared_ptr<caller_request> request)
+    : context_(context), caller_(std::move(caller)), request_(std::move(request)),
+      wake_(request_->wake), started_(request_->arrival_time) {}
 
 awaitable<void> request_handler::serve() {
   std::optional<refusal> refused = prepare();
@@ -52,6 +51,9 @@
   if (!refused) {
     refused = prepare_body();
   }
+  if (!refused) {
+    refused = co_await wait_for_earlier_requests();
+  }
   if (!refused) {
     refused = co_await prepare_first_try();
   }
@@ -63,7 +65,6 @@
     co_await try_upstreams();
   }
   co_await stop_pump();
-  co_await stop_watch(*caller_);
   if (is_admitted_) {
     context_.hook.finish(auth_);
   }
@@ -82,13 +83,13 @@
 }
 
 std::optional<refusal> request_handler::prepare() {
-  const auto& head = caller_->parser->get().base();
+  const auto& head = request_->parser.get().base();
   is_head_method_ = head.method() == http::verb::head;
   head_.request_id = context_.next_request_id();
   head_.arrival_time = started_;
   head_.method = std::string(head.method_string());
   head_.caller_address = caller_->address;
-  head_.connection_serial = caller_->requests;
+  head_.connection_serial = request_->serial;
   if (auto problem = check_request(head)) {
     return problem;
   }
@@ -160,14 +161,10 @@
   if (head_.caller_timeout) {
     auth_.deadline = std::min(auth_.deadline, started_ + *head_.caller_timeout);
   }
-  const bool is_watched = caller_->parser->is_done() && caller_->stream->buffered().empty();
-  if (is_watched) {
+  if (request_->parser.is_done()) {
     start_watch(caller_);
   }
   const auto refused = co_await wait_for(waiting);
-  if (is_watched) {
-    co_await stop_watch(*caller_);
-  }
   co_return refused;
 }
 
@@ -181,16 +178,19 @@
   if (head_.caller_timeout) {
     auth_.deadline = std::min(auth_.deadline, started_ + *head_.caller_timeout);
   }
+  if (base::clock::now() >= auth_.deadline) {
+    return not_run(504, "deadline_exceeded", "the deadline passed before the request ran");
+  }
 
-  const auto& head = caller_->parser->get().base();
+  const auto& head = request_->parser.get().base();
   const auto& route = *auth_.route;
-  is_chunked_ = caller_->parser->chunked();
-  is_waiting_for_continue_ = head.count(http::field::expect) > 0 && !caller_->parser->is_done();
+  is_chunked_ = request_->parser.chunked();
+  is_waiting_for_continue_ = head.count(http::field::expect) > 0 && !request_->parser.is_done();
   const auto length = head_.content_length.value_or(0);
   if (length > route.body_limit) {
     return not_run(413, "body_too_large", "the body is larger than the route allows");
   }
-  if (!route.is_repeatable && route.needs_idempotency_key) {
+  if (is_reserving()) {
     if (!head_.idempotency_key || head_.idempotency_key->empty()) {
       return not_run(428, "idempotency_key_required",
                      "this route requires an Idempotency-Key header to distinguish a resend "
@@ -202,15 +202,41 @@
     }
   }
   const bool is_long = length > context_.settings.max_replay_bytes;
-  is_streamed_ =
-      !caller_->parser->is_done() &&
-      (route.needs_idempotency_key ? route.is_repeatable && (is_chunked_ || is_long) : is_long);
+  const bool is_chunked_whole =
+      context_.settings.must_read_chunked_whole || route.kind == config::request_kind::once;
+  const bool may_be_long = is_long || (is_chunked_ && !is_chunked_whole);
+  is_streamed_ = !request_->parser.is_done() && !is_reserving() && may_be_long;
   if (is_chunked_ && !is_streamed_) {
     checked_head_ = head; // the parser adds trailers, which are not checked, to its fields
   }
   return std::nullopt;
 }
 
+/// A request that may not be repeated, or whose body is read here, is served alone on its
+/// connection: what is behind a body or a closed connection has then certainly not run.
+awaitable<std::optional<refusal>> request_handler::wait_for_earlier_requests() {
+  const bool is_alone = !request_->parser.is_done() || !auth_.route->is_repeatable();
+  while (is_alone && !caller_->is_first(*request_)) {
+    const auto refused = co_await wait_for_wake();
+    if (refused) {
+      co_return refused;
+    }
+  }
+  if (!request_->parser.is_done()) {
+    co_await stop_watch(*caller_);
+  }
+  co_return std::nullopt;
+}
+
+/// Lets the next request be served before this one is answered. From here on, an answer to this one
+/// closes the connection only when it is the last.
+void request_handler::allow_next_request() {
+  if (auth_.route->is_repeatable() && request_->parser.keep_alive()) {
+    request_->may_be_followed = true;
+    caller_->changed.notify();
+  }
+}
+
 awaitable<bool> request_handler::answer_locally() {
   if (!context_.intercept) {
     co_return false;
@@ -219,6 +245,7 @@
   if (!answer) {
     co_return false;
   }
+  co_await wait_for_answer_turn();
   response_header fields;
   fields.result(answer->status);
   fields.set(http::field::content_type, answer->content_type);
@@ -267,11 +294,8 @@
     if (refused) {
       co_return refused;
     }
-    if (!caller_->stream->buffered().empty()) {
-      co_return bad_request("pipelined_request",
-                            "more bytes arrived before the request was answered");
-    }
     start_watch(caller_);
+    allow_next_request();
   }
   auto refused = co_await admit();
   if (refused) {
@@ -299,9 +323,12 @@
 }
 
 awaitable<std::optional<refusal>> request_handler::read_whole_body() {
-  auto& parser = *caller_->parser;
-  caller_->stream->expires_at(auth_.deadline);
+  auto& parser = request_->parser;
   std::string piece;
+  if (parser.is_done()) {
+    co_return std::nullopt;
+  }
+  caller_->stream->expires_at(auth_.deadline);
   while (!parser.is_done()) {
     piece.resize(head_.content_length ? std::max<std::uint64_t>(*head_.content_length, 1) : 16384);
     const auto got = co_await read_body(*caller_->stream, parser, piece.data(), piece.size());
@@ -317,6 +344,7 @@
                         "the body of a request that may not be repeated is at most 64 KiB");
     }
   }
+  caller_->stream->expires_at(base::time_point::max());
   co_return std::nullopt;
 }
 
@@ -325,7 +353,7 @@
 }
 
 void request_handler::prepare_upstream_request() {
-  const auto& head = checked_head_ ? *checked_head_ : caller_->parser->get().base();
+  const auto& head = checked_head_ ? *checked_head_ : request_->parser.get().base();
   upstream_request_ = std::make_shared<upstream_request>();
   body_framing framing{is_streamed_ && is_chunked_, std::nullopt};
   if (is_streamed_) {
@@ -337,7 +365,7 @@
                                           head_.request_id, framing, context_.settings.names);
   upstream_request_->is_streamed = is_streamed_;
   upstream_request_->is_head = is_head_method_;
-  upstream_request_->is_resendable = auth_.route->is_repeatable && !is_streamed_;
+  upstream_request_->is_resendable = auth_.route->is_repeatable() && !is_streamed_;
   upstream_request_->must_store = is_reserving();
   upstream_request_->request_id = head_.request_id;
   upstream_request_->deadline = auth_.deadline;
@@ -352,26 +380,32 @@
   }
 }
 
-/// Waits until a hook has completed, the caller has disconnected, the deadline has passed or it is
-/// too late in a planned stop to go on.
+/// Waits for a notification. Returns a refusal when the request can't go on: the caller has
+/// disconnected, the deadline has passed or it is too late in a planned stop.
+awaitable<std::optional<refusal>> request_handler::wait_for_wake() {
+  if (caller_->is_disconnected) {
+    co_return caller_->is_aborted ? cut_by_stop()
+                                  : not_run(499, "caller_gone", "the caller closed the connection");
+  }
+  if (base::clock::now() >= auth_.deadline) {
+    co_return not_run(504, "deadline_exceeded", "the deadline passed before the request ran");
+  }
+  if (!has_time_before_stop()) {
+    co_return refused_by_stop();
+  }
+  co_await wake_->wait_until(may_outlast_stop() ? context_.stop->last_start() : auth_.deadline);
+  co_return std::nullopt;
+}
+
+/// Waits until a hook has completed or the request can't go on.
 template <class Waiting>
 awaitable<std::optional<refusal>> request_handler::wait_for(const Waiting& waiting) {
   while (!waiting->result) {
-    if (caller_->is_disconnected) {
-      waiting->is_abandoned = true;
-      co_return caller_->is_aborted
-          ? cut_by_stop()
-          : not_run(499, "caller_gone", "the caller closed the connection");
-    }
-    if (base::clock::now() >= auth_.deadline) {
-      waiting->is_abandoned = true;
-      co_return not_run(504, "deadline_exceeded", "the deadline passed before the request ran");
-    }
-    if (!has_time_before_stop()) {
+    auto refused = co_await wait_for_wake();
+    if (refused) {
       waiting->is_abandoned = true;
-      co_return refused_by_stop();
+      co_return refused;
     }
-    co_await wake_->wait_until(may_outlast_stop() ? context_.stop->last_start() : auth_.deadline);
   }
   if (!*waiting->result) {
     co_return waiting->result->error();
--- a/src/proxy/request_handler.h
+++ b/src/proxy/request_handler.h
@@ -14,7 +14,8 @@
 /// Serves one request whose head has been parsed: admission, tries and the answer.
 class request_handler : public std::enable_shared_from_this<request_handler> {
 public:
-  request_handler(entry_context& context, std::shared_ptr<caller_connection> caller);
+  request_handler(entry_context& context, std::shared_ptr<caller_connection> caller,
+                  std::shared_ptr<caller_request> request);
 
   /// Serves the request. Sets caller->is_closing when no further request may be read.
   awaitable<void> serve();
@@ -35,6 +36,8 @@
   void read_control_fields(const request_header& head);
   awaitable<std::optional<refusal>> wait_until_ready();
   std::optional<refusal> prepare_body();
+  awaitable<std::optional<refusal>> wait_for_earlier_requests();
+  void allow_next_request();
   awaitable<bool> answer_locally();
   awaitable<std::optional<refusal>> prepare_first_try();
   bool may_outlast_stop() const;
@@ -50,9 +53,10 @@
   /// True when the request may run at most once for its idempotency key, over all attempts of the
   /// caller.
   bool is_reserving() const {
-    return auth_.route && !auth_.route->is_repeatable && auth_.route->needs_idempotency_key;
+    return auth_.route && auth_.route->kind == config::request_kind::keyed_once;
   }
   void prepare_upstream_request();
+  awaitable<std::optional<refusal>> wait_for_wake();
   template <class Waiting>
   awaitable<std::optional<refusal>> wait_for(const Waiting& waiting);
 
@@ -88,13 +92,15 @@
   awaitable<void> deliver_rest(const exchange_ptr& ex);
   awaitable<void> deliver_stored(const stored_answer& answer);
   void settle_reservation(const exchange* ex);
+  awaitable<void> wait_for_answer_turn();
   bool must_close() const;
   base::time_point write_deadline() const;
 
   entry_context& context_;
   std::shared_ptr<caller_connection> caller_;
-  std::shared_ptr<event> wake_;
-  base::time_point started_ = base::clock::now();
+  std::shared_ptr<caller_request> request_;
+  std::shared_ptr<event> wake_; ///< of the request
+  base::time_point started_;    ///< when the request arrived
 
   request_head head_;
   std::optional<request_header> checked_head_; ///< as checked; set when trailers may follow
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -271,7 +271,7 @@
   for (std::size_t i = 0; i < active_tries_.size();) {
     const auto& pair = active_tries_[i];
     if (upstream_request_->is_streamed && pair.main->is_ready_for_body() && !is_pumping_ &&
-        body_bytes_ == 0 && !caller_->parser->is_done()) {
+        body_bytes_ == 0 && !request_->parser.is_done()) {
       is_pumping_ = true;
       boost::asio::co_spawn(
           context_.executor,
@@ -390,6 +390,9 @@
     r = *body_failure_;
   } else if (failure_) {
     r = *failure_;
+  } else if (caller_->is_cut) {
+    r = failed(499, "earlier_answer_cut",
+               "the connection was closed within the answer to an earlier request", false);
   } else {
     r = failed(499, "caller_gone", "the caller closed the connection", false);
   }
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -1,5 +1,8 @@
 #include "session.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include "kingcupshunt/proxy/head_checks.h"
 #include "kingcupshunt/proxy/header_rewrite.h"
 #include "request_handler.h"
@@ -16,23 +19,22 @@
 
 session::session(std::shared_ptr<entry_context> context, tcp::socket socket, std::string address)
     : context_(std::move(context)),
-      caller_(std::make_shared<caller_connection>(std::move(socket), std::move(address))) {}
+      caller_(std::make_shared<caller_connection>(std::move(socket), std::move(address),
+                                                  context_->settings.max_read_ahead_bytes)) {}
 
 awaitable<void> session::run() {
   const auto& settings = context_->settings;
-  while (!caller_->is_closing && !caller_->is_disconnected) {
-    bool has_head = co_await wait_for_request();
-    if (has_head) {
-      has_head = co_await read_head();
-    }
-    if (!has_head) {
+  while (is_serving()) {
+    const bool has_request = co_await next_request();
+    if (!has_request) {
       break;
     }
-    context_->metrics.count("requests_total");
-    ++caller_->requests;
-    auto serving = std::make_shared<request_handler>(*context_, caller_);
-    co_await serving->serve();
-    caller_->stream->release_buffer();
+    start_request();
+  }
+  co_await wait_until_answered();
+  co_await stop_watch(*caller_);
+  if (failure_) {
+    std::rethrow_exception(failure_);
   }
   if (caller_->is_disconnected) {
     caller_->stream->close();
@@ -42,9 +44,83 @@
   }
 }
 
+bool session::is_serving() const noexcept {
+  return !caller_->is_closing && !caller_->is_disconnected;
+}
+
+/// True when the next request may be served beside those that are not answered yet. In a planned
+/// stop the last one of these closes the connection, and what follows has not been read.
+bool session::may_serve_next() const {
+  return caller_->requests.size() < context_->settings.max_pipelined_requests &&
+         caller_->requests.back()->may_be_followed && !context_->stop && !context_->is_stopping;
+}
+
+/// Waits until a request's head has arrived and it may be served, and parses it. Returns false when
+/// no further request is served on the connection.
+awaitable<bool> session::next_request() {
+  while (is_serving() && !caller_->requests.empty()) {
+    const auto size =
+        may_serve_next() ? find_head_end(caller_->stream->buffered(), 0) : std::string_view::npos;
+    if (size <= context_->settings.max_head_bytes) {
+      const auto refused = parse(size);
+      start_watch(caller_); // it ends when the buffer is full
+      if (!refused) {
+        co_return true;
+      }
+      co_await wait_until_answered();
+      if (is_serving()) {
+        co_await refuse(*refused);
+      }
+      co_return false;
+    }
+    co_await caller_->changed.wait_until(base::time_point::max());
+  }
+  co_await stop_watch(*caller_);
+  caller_->stream->release_buffer();
+  bool has_head = is_serving();
+  if (has_head) {
+    has_head = co_await wait_for_request();
+  }
+  if (has_head) {
+    has_head = co_await read_head();
+  }
+  co_return has_head;
+}
+
+void session::start_request() {
+  context_->metrics.count("requests_total");
+  auto request = std::exchange(next_, nullptr);
+  request->serial = ++caller_->request_count;
+  if (caller_->requests.empty()) {
+    // The request has its own time limit. Later, only answers set an expiry.
+    caller_->stream->expires_at(base::time_point::max());
+  }
+  caller_->requests.push_back(request);
+  boost::asio::co_spawn(
+      context_->executor, [self = shared_from_this(), request] { return self->serve(request); },
+      boost::asio::detached);
+}
+
+awaitable<void> session::serve(std::shared_ptr<caller_request> request) {
+  try {
+    const auto handler = std::make_shared<request_handler>(*context_, caller_, request);
+    co_await handler->serve();
+  } catch (const std::exception&) {
+    failure_ = std::current_exception();
+    abort();
+  }
+  caller_->finish(*request);
+}
+
+awaitable<void> session::wait_until_answered() {
+  while (!caller_->requests.empty()) {
+    co_await caller_->changed.wait_until(base::time_point::max());
+  }
+}
+
 void session::wake() {
-  if (caller_->wake) {
-    caller_->wake->notify();
+  for (const auto& r : caller_->requests) {
+    r->wake->notify();
   }
 }
 
@@ -57,15 +133,18 @@
 /// Waits for the first byte of a request. Returns false when the connection is to be closed.
 awaitable<bool> session::wait_for_request() {
   caller_->stream->expires_at(base::clock::now() + context_->settings.idle_timeout);
-  is_idle_ = true;
-  bool is_ok = !context_->is_stopping;
-  if (is_ok) {
-    const auto ec = co_await caller_->stream->read_some();
-    is_ok = !ec;
+  if (context_->is_stopping) {
+    caller_->is_closing = true;
+    co_return false;
+  }
+  if (!caller_->stream->buffered().empty()) {
+    co_return true;
   }
+  is_idle_ = true;
+  const auto ec = co_await caller_->stream->read_some();
   is_idle_ = false;
-  caller_->is_disconnected = caller_->is_disconnected || !is_ok;
-  co_return is_ok;
+  caller_->is_disconnected = caller_->is_disconnected || ec.failed();
+  co_return !ec;
 }
 
 /// Reads, checks and parses a head. Returns false after a refusal or when the connection ended.
@@ -121,10 +200,12 @@
     return is_count ? refused_head(431, "too_many_headers", problem)
                     : bad_request("bad_head", problem);
   }
-  caller_->parser.emplace();
-  if (const auto ec = parse_head(stream, *caller_->parser, size)) {
+  auto request = std::make_shared<caller_request>(context_->executor);
+  request->arrival_time = stream.arrival_of(size);
+  if (const auto ec = parse_head(stream, request->parser, size)) {
     return bad_request("bad_head", "the head is not valid HTTP: " + ec.message());
   }
+  next_ = std::move(request);
   return std::nullopt;
 }
 
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string>
@@ -10,6 +11,8 @@
 namespace kingcupshunt::proxy {
 
 /// Serves one caller connection: reads request heads in sequence and serves each request.
+/// Repeatable requests that arrive before the answer to the one before are served at the same time,
+/// up to a limit, and answered in their order.
 class session : public std::enable_shared_from_this<session> {
 public:
   session(std::shared_ptr<entry_context> context, tcp::socket socket, std::string address);
@@ -17,6 +20,7 @@
   /// Serves until the connection ends.
   awaitable<void> run();
 
+  /// True when the connection waits for the first byte of a request.
   bool is_idle() const noexcept { return is_idle_; }
   /// True when the last answer was sent and the caller has yet to close the connection.
   bool is_draining() const noexcept { return is_draining_; }
@@ -28,14 +32,22 @@
   void abort();
 
 private:
+  bool is_serving() const noexcept;
+  bool may_serve_next() const;
+  awaitable<bool> next_request();
   awaitable<bool> wait_for_request();
   awaitable<bool> read_head();
   awaitable<std::optional<refusal>> read_head_bytes(std::size_t& size);
   std::optional<refusal> parse(std::size_t size);
   awaitable<void> refuse(const refusal& r);
+  void start_request();
+  awaitable<void> serve(std::shared_ptr<caller_request> request);
+  awaitable<void> wait_until_answered();
 
   std::shared_ptr<entry_context> context_;
   std::shared_ptr<caller_connection> caller_;
+  std::shared_ptr<caller_request> next_; ///< parsed, not served yet
+  std::exception_ptr failure_;           ///< of a request
   bool is_idle_ = true;
   bool is_draining_ = false;
 };
--- a/src/proxy/timed_socket.cpp
+++ b/src/proxy/timed_socket.cpp
@@ -18,6 +18,13 @@
 
 constexpr std::size_t max_read_bytes = std::size_t{64} * 1024;
 
+/// Why a read that does not wait yielded nothing.
+error_code error_of_empty_read(ssize_t got) {
+  const bool is_empty = got < 0 && (errno == EAGAIN || errno == EINTR);
+  return is_empty ? asio::error::make_error_code(asio::error::would_block)
+                  : asio::error::make_error_code(asio::error::eof);
+}
+
 error_code timed_out_error() {
   return asio::error::make_error_code(asio::error::timed_out);
 }
@@ -92,6 +99,7 @@
   const auto n =
       co_await socket_.async_read_some(space, asio::redirect_error(asio::use_awaitable, ec));
   buffer_.commit(n);
+  note_arrival(n);
   if (n == next_read_) {
     next_read_ = std::min(next_read_ * 2, max_read_bytes);
   }
@@ -101,6 +109,33 @@
   co_return ec;
 }
 
+error_code timed_socket::read_available() {
+  const auto space = buffer_.prepare(min_read_bytes);
+  const auto got = ::recv(socket_.native_handle(), space.data(), space.size(), MSG_DONTWAIT);
+  if (got > 0) {
+    buffer_.commit(static_cast<std::size_t>(got));
+    note_arrival(static_cast<std::size_t>(got));
+    return {};
+  }
+  return error_of_empty_read(got);
+}
+
+void timed_socket::note_arrival(std::size_t n) {
+  if (n == 0) {
+    return;
+  }
+  const auto consumed = received_ - (buffer_.size() - n);
+  std::erase_if(arrivals_, [&](const arrival& a) { return a.end <= consumed; });
+  received_ += n;
+  arrivals_.push_back({received_, base::clock::now()});
+}
+
+base::time_point timed_socket::arrival_of(std::size_t size) const {
+  const auto end = received_ - buffer_.size() + size;
+  const auto it = std::ranges::lower_bound(arrivals_, end, {}, &arrival::end);
+  return it == arrivals_.end() ? base::clock::now() : it->time;
+}
+
 awaitable<error_code> timed_socket::write(std::string_view first, std::string_view second,
                                           std::string_view third) {
   error_code ec;
@@ -141,9 +176,7 @@
   if (got > 0) {
     return {};
   }
-  const bool is_empty = got < 0 && (errno == EAGAIN || errno == EINTR);
-  return is_empty ? asio::error::make_error_code(asio::error::would_block)
-                  : asio::error::make_error_code(asio::error::eof);
+  return error_of_empty_read(got);
 }
 
 bool timed_socket::has_pending_input() {
--- a/src/proxy/timed_socket.h
+++ b/src/proxy/timed_socket.h
@@ -3,8 +3,10 @@
 #include <utility>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string_view>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
@@ -58,6 +60,13 @@
   /// Waits until bytes or the end of the stream can be read.
   awaitable<error_code> wait_readable();
 
+  /// Appends received data to the buffer without waiting. Returns would_block when none is
+  /// available and eof when the connection has ended.
+  error_code read_available();
+
+  /// When the first `size` bytes of the buffer had arrived.
+  base::time_point arrival_of(std::size_t size) const;
+
   /// Reads and discards up to 4 KiB without waiting and sets `n` to the number of bytes. Returns
   /// would_block when no data is available and eof when the connection has ended.
   error_code discard_available(std::size_t& n);
@@ -68,13 +77,22 @@
 private:
   static constexpr std::size_t min_read_bytes = 4096;
 
+  /// Bytes of the stream that had arrived at a time.
+  struct arrival {
+    std::uint64_t end = 0;
+    base::time_point time;
+  };
+
   void arm();
+  void note_arrival(std::size_t n);
 
   tcp::socket socket_;
   boost::beast::flat_buffer buffer_;
   boost::asio::steady_timer timer_;
   base::time_point expiry_ = base::time_point::max();
   base::time_point armed_for_ = base::time_point::max();
+  std::uint64_t received_ = 0;    ///< bytes put into the buffer so far
+  std::vector<arrival> arrivals_; ///< of the bytes in the buffer, oldest first
   std::size_t written_ = 0;
   std::size_t next_read_ = min_read_bytes;
   bool is_timed_out_ = false;
--- a/tests/config/snapshot_test.cpp
+++ b/tests/config/snapshot_test.cpp
@@ -130,3 +130,50 @@
   all["20.json"] = deep;
   CHECK(!config::parse(all));
 }
+
+// A kind that is read as another one would let a request run twice.
+TEST_CASE("the kind of a route is read from one member or from the two older ones") {
+  using config::request_kind;
+  const auto kind_of = [](const std::string& members) {
+    auto all = base_files();
+    all["20-kind.json"] = R"({"routes": {"fit": {)" + members + "}}}";
+    auto parsed = config::parse(all);
+    REQUIRE(parsed);
+    return parsed.value().find_route("h", "GET", "/fit")->kind;
+  };
+  CHECK(kind_of(R"("kind": "repeatable")") == request_kind::repeatable);
+  CHECK(kind_of(R"("kind": "download")") == request_kind::download);
+  CHECK(kind_of(R"("kind": "once")") == request_kind::once);
+  CHECK(kind_of(R"("kind": "keyed_once")") == request_kind::keyed_once);
+  CHECK(kind_of("") == request_kind::repeatable);
+  CHECK(kind_of(R"("is_repeatable": false)") == request_kind::keyed_once);
+  CHECK(kind_of(R"("is_repeatable": false, "needs_idempotency_key": false)") == request_kind::once);
+  CHECK(kind_of(R"("kind": "once", "is_repeatable": false)") == request_kind::once);
+}
+
+TEST_CASE("an unknown kind and contradictory members are refused with the pointer of the route") {
+  for (const char* members :
+       {R"("kind": "safe")", R"("kind": "")", R"("kind": 3)",
+        R"("kind": "once", "is_repeatable": true)", R"("kind": "download", "is_repeatable": false)",
+        R"("kind": "keyed_once", "needs_idempotency_key": false)"}) {
+    CAPTURE(members);
+    auto all = base_files();
+    all["20-kind.json"] = std::string(R"({"routes": {"fit": {)") + members + "}}}";
+    CHECK(error_of(all).pointer == "/routes/fit/kind");
+  }
+}
+
+// Builds without downloads refuse a configuration with a member that they do not know.
+TEST_CASE("a printed document states a kind only where the older members can't") {
+  auto all = base_files();
+  all["20-kind.json"] =
+      R"({"routes": {"fit": {"kind": "download"}, "hold": {"is_repeatable": null, "kind": "once"}}})";
+  auto parsed = config::parse(all);
+  REQUIRE(parsed);
+  const auto document = config::to_document(parsed.value());
+  CHECK(document["routes"]["fit"]["kind"] == "download");
+  CHECK(!document["routes"]["fit"].contains("is_repeatable"));
+  CHECK(!document["routes"]["hold"].contains("kind"));
+  CHECK(document["routes"]["hold"]["is_repeatable"] == false);
+  CHECK(document["routes"]["hold"]["needs_idempotency_key"] == false);
+}
--- a/tests/proxy/malformed_requests_test.cpp
+++ b/tests/proxy/malformed_requests_test.cpp
@@ -96,6 +96,30 @@
   CHECK(f.get().status == 200);
 }
 
+// A row that begins with valid requests must not hide what follows from the checks of a head.
+TEST_CASE(
+    "malformed requests behind valid ones are refused or closed and nothing behind them runs") {
+  backend b(always(ok_answer()));
+  fixture f({b.id()}, [](entry_settings& s) { s.head_timeout = base::milliseconds(50); });
+  f.start();
+  const std::string valid = "GET /a HTTP/1.1\r\nHost: shop\r\n" + authorization() + "\r\n";
+  base::rng rng(seed);
+  for (int i = 0; i < requests; ++i) {
+    CAPTURE(i);
+    test_connection c(f.port());
+    const int before = 1 + i % 2;
+    const auto served = b.requests();
+    c.send((before == 2 ? valid + valid : valid) + malformed(rng));
+    for (int n = 0; n < before; ++n) {
+      CHECK(c.read_answer().status == 200);
+    }
+    const auto a = c.read_answer();
+    CHECK((a.status == 0 || a.status >= 400));
+    CHECK(c.is_closed_by_peer());
+    CHECK(b.requests() == served + before);
+  }
+}
+
 TEST_CASE("malformed chunks never reach a backend server as a complete body") {
   backend b([](backend& self, test_connection& c, int) {
     // Reads to the end of a chunked body; the request would be answered if the entry ended the body
