Open a voter's data folder again after a failed write, in the fleet of equal instances too

Cause here: a failed write makes a replica silent until its folder is read again. The control role opened it again, an instance of `run` did not: with the second disk the majority was gone for good.

Test: full_disk_test, three voters whose disks are full one after another.

--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -10,8 +10,7 @@
 #include "kingcupshunt/config/snapshot.h"
 #include "kingcupshunt/observe/event_log.h"
 #include "kingcupshunt/rates/owner.h"
-#include "kingcupshunt/storage/log_store.h"
-#include "kingcupshunt/storage/sync_thread.h"
+#include "log_disk.h"
 #include "role_runtime.h"
 
 namespace kingcupshunt::node {
@@ -32,7 +31,6 @@
 constexpr base::milliseconds first_election_timeout{150};
 constexpr const char* servers_file = "servers";
 constexpr base::seconds servers_write_interval{1};
-constexpr base::milliseconds reopen_interval{1000}; // of a log whose disk failed a write
 
 } // namespace
 
@@ -43,8 +41,8 @@
   role_hooks make_role_hooks();
   base::result<void, std::string> open();
   storage::log_store_settings store_settings() const;
-  void open_log(std::unique_ptr<storage::log_store> store);
-  void reopen_failed_log(base::time_point now);
+  void open_log(opened_log found);
+  log_disk_hooks disk_hooks();
   fleet::document_log_hooks log_hooks();
   void on_message(std::string_view from, message_kind kind, const std::string& body);
   void on_document(const fleet::versioned_document& document);
@@ -52,7 +50,6 @@
   void restore_servers();
   void write_servers(base::time_point now);
   void on_tick(base::time_point now);
-  void on_written(std::uint64_t sequence, const std::optional<storage::error>& failure);
   void update_voters(base::time_point now);
   void stop();
 
@@ -61,7 +58,7 @@
   std::unique_ptr<fleet::control_core> core;
   std::unique_ptr<fleet::document_log> documents;
   std::unique_ptr<rates::owner> rate_owner;
-  std::unique_ptr<storage::sync_thread> disk;
+  std::unique_ptr<log_disk> disk;
   std::unique_ptr<control::http_server> control_server;
   std::unique_ptr<control::http_server> directory_server;
   std::unique_ptr<boost::asio::steady_timer> stop_timer;
@@ -73,8 +70,6 @@
   std::uint64_t written_position = 0;
   base::time_point next_write{};
   bool is_writing = false;
-  base::time_point next_reopen{};
-  bool is_reopening = false;
   boost::asio::thread_pool writer{1}; ///< last member: its thread is joined first
 };
 
@@ -97,19 +92,19 @@
 
 base::result<void, std::string> control_node::impl::open() {
   const auto& s = runtime.settings;
-  auto store = storage::log_store::open(store_settings(), storage::make_system_files());
-  if (!store) {
-    return storage::describe(store.error());
-  }
-  if (const auto torn = store.value()->torn_bytes(); torn > 0) {
-    observe::log_warning("log_tail_cut", {{"folder", s.data_folder}, {"bytes", torn}});
+  opened_log found;
+  auto opened = log_disk::open(runtime.io, runtime.metrics, store_settings(), files, found);
+  if (!opened) {
+    return storage::describe(opened.error());
   }
+  disk = std::move(opened.value());
+  disk->set_hooks(disk_hooks());
   if (auto started = runtime.start(); !started) {
     return started.error();
   }
   fleet::control_settings core_settings;
   core_settings.self = s.id;
-  core_settings.store = store.value()->store_id();
+  core_settings.store = found.store_id;
   core_settings.data_centre = s.data_centre;
   core_settings.start = runtime.seed;
   core_settings.beat_interval = s.bounds.beat_interval;
@@ -143,7 +138,7 @@
   };
   owner_hooks.is_fresh = [this] { return core->has_majority_contact(base::clock::now()); };
   rate_owner = std::make_unique<rates::owner>(std::move(owner_settings), std::move(owner_hooks));
-  open_log(std::move(store.value()));
+  open_log(std::move(found));
   restore_servers();
   return base::success();
 }
@@ -173,10 +168,10 @@
   return out;
 }
 
-void control_node::impl::open_log(std::unique_ptr<storage::log_store> store) {
+void control_node::impl::open_log(opened_log found) {
   const auto& s = runtime.settings;
   consensus::replica_settings replica;
-  replica.self = {s.id, store->store_id()};
+  replica.self = {s.id, found.store_id};
   replica.seed = runtime.seed;
   replica.election_timeout = election_timeout;
   replica.first_election_timeout = first_election_timeout;
@@ -186,58 +181,21 @@
   if (s.is_first_start && std::ranges::find(s.seeds, s.id) != s.seeds.end()) {
     replica.initial_voters = s.seeds;
   }
-  auto recovered = store->take_recovered();
-  storage::sync_thread_hooks disk_hooks;
-  disk_hooks.post = [this](std::function<void()> f) {
-    boost::asio::post(runtime.io, std::move(f));
-  };
-  disk_hooks.on_written = [this](std::uint64_t sequence, const auto& failure) {
-    on_written(sequence, failure);
-  };
-  disk_hooks.on_snapshot_saved = [this](std::uint64_t index, const auto& failure) {
-    if (failure) {
-      observe::log_error("snapshot_failed", {{"error", storage::describe(*failure)}});
-    }
-    documents->log().on_snapshot_saved(index, !failure, base::clock::now());
-  };
-  disk = std::make_unique<storage::sync_thread>(std::move(store), std::move(disk_hooks));
   documents = std::make_unique<fleet::document_log>(std::move(replica), log_hooks(),
-                                                    std::move(recovered), base::clock::now());
+                                                    std::move(found.recovered), base::clock::now());
   core->set_log(documents.get());
 }
 
-void control_node::impl::on_written(std::uint64_t sequence,
-                                    const std::optional<storage::error>& failure) {
-  if (failure) {
-    observe::log_error("disk_write_failed", {{"error", storage::describe(*failure)}});
-    runtime.metrics.count("disk_failures_total");
-  }
-  documents->log().on_persisted(sequence, !failure, base::clock::now());
-}
-
-/// Reopens the log after a failed write, since the disk may accept writes again. The folder is
-/// recovered as after a restart, because a failed write leaves its content undefined. Until then
-/// the failed log neither votes nor writes.
-void control_node::impl::reopen_failed_log(base::time_point now) {
-  if (!documents->log().has_failed() || is_reopening || now < next_reopen) {
-    return;
-  }
-  is_reopening = true;
-  disk.reset(); // releases the lock on the folder
-  boost::asio::post(writer, [this] {
-    auto opened = std::make_shared<storage::result<std::unique_ptr<storage::log_store>>>(
-        storage::log_store::open(store_settings(), storage::make_system_files()));
-    boost::asio::post(runtime.io, [this, opened] {
-      is_reopening = false;
-      next_reopen = base::clock::now() + reopen_interval;
-      if (!*opened) {
-        observe::log_warning("log_not_reopened", {{"error", storage::describe(opened->error())}});
-        return;
-      }
-      observe::log_info("log_reopened", {{"folder", runtime.settings.data_folder}});
-      open_log(std::move(opened->value()));
-    });
-  });
+log_disk_hooks control_node::impl::disk_hooks() {
+  log_disk_hooks out;
+  out.on_written = [this](std::uint64_t sequence, bool is_ok) {
+    documents->log().on_persisted(sequence, is_ok, base::clock::now());
+  };
+  out.on_snapshot_saved = [this](std::uint64_t index, bool is_ok) {
+    documents->log().on_snapshot_saved(index, is_ok, base::clock::now());
+  };
+  out.on_reopened = [this](opened_log found) { open_log(std::move(found)); };
+  return out;
 }
 
 void control_node::impl::on_document(const fleet::versioned_document& document) {
@@ -329,7 +287,7 @@
 
 void control_node::impl::on_tick(base::time_point now) {
   documents->tick(now);
-  reopen_failed_log(now);
+  disk->tick(now);
   core->tick(now);
   update_voters(now);
   rate_owner->tick(now);
--- a/src/node/fleet_state.cpp
+++ b/src/node/fleet_state.cpp
@@ -71,7 +71,7 @@
     }
   };
   on_voter.on_disk_time = out->hooks_.on_disk_time;
-  auto opened = voter::open(rt, std::move(on_voter), now);
+  auto opened = voter::open(rt, std::move(on_voter), storage::make_system_files(), now);
   if (!opened) {
     return opened.error();
   }
@@ -238,7 +238,7 @@
   follower_->tick(now);
   client_->tick(now);
   if (voter_) {
-    voter_->server().tick(now);
+    voter_->tick(now);
     plan_view_change(now);
   }
   sync(now);
--- a/src/node/voter.h
+++ b/src/node/voter.h
@@ -7,7 +7,7 @@
 
 #include "kingcupshunt/base/result.h"
 #include "kingcupshunt/state/server.h"
-#include "kingcupshunt/storage/sync_thread.h"
+#include "log_disk.h"
 #include "runtime.h"
 
 namespace kingcupshunt::node {
@@ -23,21 +23,23 @@
 public:
   /// Opens the data folder. The error is a one-line message for operators.
   static base::result<std::unique_ptr<voter>, std::string>
-  open(const runtime& rt, voter_hooks hooks, base::time_point now);
+  open(const runtime& rt, voter_hooks hooks, std::shared_ptr<storage::file_system> files,
+       base::time_point now);
 
+  void tick(base::time_point now);
+
+  /// Replaced when the data folder is opened again after a failed write.
   state::server& server() noexcept { return *server_; }
   const state::server& server() const noexcept { return *server_; }
 
 private:
   voter(const runtime& rt, voter_hooks hooks) : rt_(rt), hooks_(std::move(hooks)) {}
-  void start(std::unique_ptr<storage::log_store> store, base::time_point now);
-  void on_written(std::uint64_t sequence, const std::optional<storage::error>& failure);
+  void start(opened_log found, base::time_point now);
 
   runtime rt_;
   voter_hooks hooks_;
   std::unique_ptr<state::server> server_;
-  base::time_point write_started_{};
-  std::unique_ptr<storage::sync_thread> disk_; ///< last member: its threads are joined first
+  std::unique_ptr<log_disk> disk_; ///< last member: its threads are joined first
 };
 
 } // namespace kingcupshunt::node
--- a/tests/storage/memory_files.h
+++ b/tests/storage/memory_files.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <set>
@@ -24,10 +25,10 @@
   };
   using folder = std::map<std::string, std::shared_ptr<content>>;
 
-  folder now;                         ///< as processes see it
-  folder durable;                     ///< names that survive a crash
-  std::size_t writes_left = SIZE_MAX; ///< bytes until the disk is full
-  int syncs_left = INT32_MAX;         ///< syncs until one fails
+  folder now;                                      ///< as processes see it
+  folder durable;                                  ///< names that survive a crash
+  std::atomic<std::size_t> writes_left = SIZE_MAX; ///< bytes until the disk is full
+  int syncs_left = INT32_MAX;                      ///< syncs until one fails
   std::set<std::string> locked;
 
   /// Keeps of each unsynced write a random part.
@@ -44,7 +45,7 @@
   struct open_file : storage::file {
     open_file(memory_files& fs, std::shared_ptr<content> c) : fs_(fs), c_(std::move(c)) {}
     storage::result<void> write(std::string_view data) override {
-      const auto n = std::min(fs_.writes_left, data.size());
+      const auto n = std::min(fs_.writes_left.load(), data.size());
       fs_.writes_left -= n;
       c_->data += data.substr(0, n);
       if (n < data.size()) {
