Keep the fleet's retry budget in every window

Cause: an entry saved 0.16 retries a request with a decay of 10 s. Ruled out: the constant part alone (46 entries x 1.5 a window, within the slack).

Change: admission::window_budget counts requests and retries of a sliding window by service: at most 0.9 of the ratio of the entry's own requests in the window, and its part of half the slack. A burst may still use a whole window's retries at once; then it waits. The window and the slack are read from the settings.

--- a/include/kingcupshunt/settings/role_settings.h
+++ b/include/kingcupshunt/settings/role_settings.h
@@ -23,7 +23,9 @@
   base::duration beat_interval = base::milliseconds(1500); ///< of backend servers
   base::duration stop_grace = base::seconds(6);            ///< from the request to stop to a kill
   base::duration address_lifetime = base::milliseconds(1500); ///< of an answer to callers
-  double retry_share = 0.2;                                   ///< further tries for each request
+  double retry_share = 0.2; ///< further tries for each request, of all entries in a window
+  base::duration retry_window = base::seconds(10);
+  double retry_slack = 0; ///< further tries beyond the share, of all entries in a window
 };
 
 /// Settings of one process that plays a single role: entry or control.
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -68,12 +68,11 @@
   return has_own ? *request.workspace->rank : request.route->rank;
 }
 
-/// The retry bound holds for the sum over all instances, so each instance uses less than the share.
-admission::retry_budget_settings retry_settings_of(const settings::role_bounds& b) {
-  admission::retry_budget_settings out;
-  out.share = b.retry_share * 0.8;
-  out.workspace_per_second = 0.15; // accrues for 5 s: each instance starts with at most one retry
-  out.instance_per_second = 1000;  // high enough that only the budget of the service limits
+admission::window_budget_settings retry_settings_of(const settings::role_bounds& b) {
+  admission::window_budget_settings out;
+  out.share = b.retry_share;
+  out.window = b.retry_window;
+  out.slack = b.retry_slack;
   return out;
 }
 
@@ -121,7 +120,7 @@
   };
   out.take_hedge = [this](const proxy::authorized_request& request) {
     return board_.free_slots(request.service->name, base::clock::now()) > 0 &&
-           retries_.withdraw(request.service->name, base::clock::now());
+           retries_.withdraw(request.service->name, link_.entry_count(), base::clock::now());
   };
   return out;
 }
@@ -385,7 +384,7 @@
   if (last.end == health::attempt_end::connect_failed) {
     return true;
   }
-  return retries_.withdraw(request.service->name, now);
+  return retries_.withdraw(request.service->name, link_.entry_count(), now);
 }
 
 std::optional<base::duration>
--- a/src/node/entry_traffic.h
+++ b/src/node/entry_traffic.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "kingcupshunt/admission/crash_history.h"
-#include "kingcupshunt/admission/retry_budget.h"
 #include "kingcupshunt/admission/service_gate.h"
 #include "kingcupshunt/admission/start_gate.h"
+#include "kingcupshunt/admission/window_budget.h"
 #include "kingcupshunt/balance/path_monitor.h"
 #include "kingcupshunt/balance/server_board.h"
 #include "kingcupshunt/fleet/entry_link.h"
@@ -81,7 +81,7 @@
   fleet::entry_link& link_;
   balance::server_board board_;
   rates::client rates_;
-  admission::retry_budget retries_;
+  admission::window_budget retries_;
   admission::crash_history crashes_;
   std::map<std::string, admission::service_gate, std::less<>> gates_;
   rates::local_share local_share_; ///< used while the owner of a rate does not answer
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -168,13 +168,15 @@
               {"data_dir", nullptr},
               {"listen", {{"front", "10.1.0.5:8405"}, {"ready", "10.1.0.5:8406"}}},
               {"limits", {{"memory_mb", 400}}},
-              {"bounds", {{"revoke_s", 4}}}};
+              {"bounds", {{"revoke_s", 4}, {"budget_window_s", 8}, {"budget_slack", 58}}}};
   const auto s = parse_settings(all.dump());
   REQUIRE(s);
   CHECK(s.value().entry.port == 8405);
   CHECK(s.value().peer.port == 7660);
   CHECK(s.value().seeds == std::vector<std::string>{"10.1.0.8", "10.3.0.8"});
   CHECK(base::to_ms(s.value().bounds.lease) == 2400);
+  CHECK(base::to_ms(s.value().bounds.retry_window) == 8000);
+  CHECK(s.value().bounds.retry_slack == 58);
   CHECK(s.value().memory_bytes == std::size_t{400} << 20U);
   for (const auto* name : {"ip", "zone", "region", "internal_port_range", "seeds"}) {
     auto without = all;
