--- a/tests/balance/hanging_servers_test.cpp
+++ b/tests/balance/hanging_servers_test.cpp
@@ -84,11 +84,10 @@
       if (r.until > ms) {
         return false;
       }
-      boards[r.board].end(
-          r.server, r.serial,
-          health::attempt{.end = r.is_hanging ? attempt_end::timed_out : attempt_end::ok,
-                          .total = base::milliseconds(answer_ms)},
-          now);
+      health::attempt ended;
+      ended.end = r.is_hanging ? attempt_end::timed_out : attempt_end::ok;
+      ended.total = base::milliseconds(answer_ms);
+      boards[r.board].end(r.server, r.serial, ended, now);
       return true;
     });
     if (ms % report_ms == 0) {
