Log whom a control instance asks to join, and the leader known there

A control instance that stays without a leader left no line that tells whether it asked the leading one. It now logs control_join_sent with the instances that it asks, once for each set, and control_asks_to_join names the leader known to the instance that was asked.

--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -160,6 +160,7 @@
   void remove_load(std::string_view id);
   void check_shares(base::time_point now);
   void maintain_voters(base::time_point now);
+  void ask_to_join();
   void remove_lost_voter(base::time_point now);
   bool has_majority(const pending_share& p) const;
   std::size_t count_entries(base::time_point now) const;
@@ -186,6 +187,7 @@
   relayed_load loads_;
   base::time_point majority_contact_at_{};
   base::time_point join_at_{};
+  std::size_t asked_to_join_ = 0; ///< control instances asked since a leader was last heard
   base::time_point flush_at_{};
   base::time_point push_at_{};
   base::time_point slow_tick_at_{};
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -372,7 +372,9 @@
 void control_core::on_join(std::string_view from, const control_join& join, base::time_point now) {
   add_control(from);
   if (join_requests_.find(from) == join_requests_.end()) {
-    log("control_asks_to_join", std::string(from) + " store=" + join.store);
+    const auto& leader = log_->log().leader();
+    log("control_asks_to_join", std::string(from) + " store=" + join.store +
+                                    " leader=" + (leader.empty() ? "unknown" : leader));
   }
   join_requests_.insert_or_assign(std::string(from), now);
 }
--- a/src/fleet/control_voters.cpp
+++ b/src/fleet/control_voters.cpp
@@ -26,12 +26,10 @@
   }
   if (replica.hears_leader(now)) {
     majority_contact_at_ = now;
+    asked_to_join_ = 0;
   } else if (now >= join_at_) {
     join_at_ = now + join_interval;
-    const auto body = peer::pack(control_join{settings_.store});
-    for (const auto& id : controls_) {
-      hooks_.send(id, message_kind::control_join, body);
-    }
+    ask_to_join();
   }
   std::erase_if(join_requests_,
                 [&](const auto& j) { return now - j.second > join_request_lifetime; });
@@ -50,6 +48,21 @@
   remove_lost_voter(now);
 }
 
+void control_core::ask_to_join() {
+  if (asked_to_join_ != controls_.size()) {
+    asked_to_join_ = controls_.size();
+    std::string asked;
+    for (const auto& id : controls_) {
+      asked += (asked.empty() ? "" : ",") + id;
+    }
+    log("control_join_sent", "to=" + asked);
+  }
+  const auto body = peer::pack(control_join{settings_.store});
+  for (const auto& id : controls_) {
+    hooks_.send(id, message_kind::control_join, body);
+  }
+}
+
 /// An even number of voters tolerates no more failures than the odd number below it. A lost voter
 /// is therefore removed soon from an even number, and from an odd number only after a time that
 /// repairs rarely exceed.
