Log what the slots of a service that stays full are taken for

Requests that wait for a service without a free slot left no line that tells a lack of servers from a wrong count. service_full says after one second how many of its slots are in use here, in use elsewhere as last reported, and how many of its servers count as full because they refused a request.

--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -128,6 +128,15 @@
   std::uint32_t suspected = 0;
 };
 
+/// What the slots of a service's usable servers are taken for, as far as known here.
+struct service_load {
+  std::uint32_t usable = 0; ///< servers
+  std::uint32_t slots = 0;
+  std::uint32_t own = 0;     ///< requests of this instance in flight
+  std::uint32_t others = 0;  ///< requests of other instances in flight, as last reported
+  std::uint32_t refused = 0; ///< servers that count as full because they refused a request
+};
+
 struct board_hooks {
   std::function<void(const limit_change&)> on_limit;     ///< may be empty
   std::function<void(const leaving_notice&)> on_leaving; ///< may be empty
@@ -215,6 +224,7 @@
 
   std::vector<board_entry> entries(base::time_point now) const;
   std::map<std::string, service_suspicion, std::less<>> suspicions(base::time_point now) const;
+  service_load load_of(std::string_view service, base::time_point now) const;
 
 private:
   struct episode_record {
@@ -235,6 +245,7 @@
     base::time_point usable_until = base::time_point::max();
     std::map<std::uint64_t, running> own_requests; ///< by request serial
     std::uint32_t others_in_flight = 0;
+    bool is_refusal_last = false; ///< `others_in_flight` is from a refusal, not from a report
     std::uint32_t reported = 0; ///< own requests in flight as last reported
     episode_estimator estimator;
     episode_record history;
--- a/src/balance/server_board.cpp
+++ b/src/balance/server_board.cpp
@@ -355,6 +355,7 @@
   if (a.end == attempt_end::shed) {
     // The server has fewer free slots than known here; the next load report corrects the count.
     s.others_in_flight = std::max(s.others_in_flight, s.record.slots);
+    s.is_refusal_last = true;
     return;
   }
   if (a.end != attempt_end::ok) {
--- a/src/node/entry_logs.cpp
+++ b/src/node/entry_logs.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr base::milliseconds suspicion_interval{250};
+constexpr base::milliseconds full_services_interval{250};
+constexpr base::seconds long_full_time{1}; ///< a service that is full for shorter is not logged
 constexpr double log_rate = 40;   // request log lines per second
 constexpr double log_burst = 200; // request log lines
 
@@ -41,6 +43,42 @@
   }
 }
 
+/// Writes a line when requests have waited for a service without a free slot for long, and when that
+/// ends: what its slots are taken for tells a lack of servers from a wrong count.
+void entry_traffic::log_full_services(base::time_point now) {
+  if (now < full_services_at_) {
+    return;
+  }
+  full_services_at_ = now + full_services_interval;
+  for (const auto& [service, gate] : gates_) {
+    const bool is_full = gate.waiting() > 0 && board_.free_slots(service, now) == 0;
+    const auto it = full_.find(service);
+    if (it == full_.end()) {
+      if (is_full) {
+        full_.emplace(service, full_period{now, false});
+      }
+      continue;
+    }
+    auto& period = it->second;
+    if (is_full ? !period.is_logged && now - period.since >= long_full_time : period.is_logged) {
+      const auto load = board_.load_of(service, now);
+      period.is_logged = true;
+      observe::log_info("service_full", {{"service", service},
+                                         {"is_full", is_full},
+                                         {"for_ms", base::to_ms(now - period.since)},
+                                         {"waiting", gate.waiting()},
+                                         {"usable", load.usable},
+                                         {"slots", load.slots},
+                                         {"own", load.own},
+                                         {"others", load.others},
+                                         {"refused", load.refused}});
+    }
+    if (!is_full) {
+      full_.erase(it);
+    }
+  }
+}
+
 /// Limits the log lines about refusals, which are frequent during faults. Metrics count all of
 /// them.
 bool entry_traffic::may_log(base::time_point now) {
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -508,6 +508,7 @@
   board_.tick(now);
   send_report(now);
   log_suspicions(now);
+  log_full_services(now);
   for (const auto& [service, gate] : gates_) {
     dispatch(service, now);
   }
--- a/src/node/entry_traffic.h
+++ b/src/node/entry_traffic.h
@@ -72,6 +72,7 @@
   std::optional<proxy::refusal> refusal_of_pause(const std::string& service,
                                                  base::time_point now) const;
   void log_suspicions(base::time_point now);
+  void log_full_services(base::time_point now);
   void record_refusal(const proxy::request_head& head, const proxy::refusal& r,
                       const std::vector<std::string>& tried);
   bool may_log(base::time_point now);
@@ -94,6 +95,12 @@
   failure_count failures_; ///< since the last log line about suspected servers
   std::map<std::string, bool, std::less<>> is_mostly_suspected_; ///< by service
   base::time_point suspicions_at_{};
+  struct full_period {
+    base::time_point since{};
+    bool is_logged = false;
+  };
+  std::map<std::string, full_period, std::less<>> full_; ///< services without a free slot
+  base::time_point full_services_at_{};
   balance::path_monitor path_;
   std::function<void()> on_path_change_;
   std::size_t next_tunnel_ = 0;
