Answer a request to join with the voters, so that it reaches the leader

Cause: only the leader adds voters. An added instance asks the seeds of its settings; none of them led, and each kept the request to itself.

Change: whoever is asked answers with the voters that it knows (control_join_answer); the next request goes to these. Since every voter and every joining instance names all voters, one that is in touch with any of them finds the leader within a second. Builds without the message ignore it.

Tests: "a control instance whose seeds don't name the leader joins the others" (REQUIRE of the added voter failed) and "a control instance joins through one that has itself just joined" failed before and pass now. The set-up of the test that adds a fourth instance now uses the same function; what it checks is unchanged.

--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -144,6 +144,7 @@
   void on_share(std::string_view from, const record_share& share, base::time_point now);
   void on_share_ack(std::string_view from, const record_share_ack& ack);
   void on_join(std::string_view from, const control_join& join, base::time_point now);
+  void on_join_answer(const control_join_answer& answer);
   void on_pulse(std::string_view from, const load_report& report, base::time_point now);
   bool is_service_known(const server_record& record) const;
   void wait_for_service(server_record record, base::time_point now);
--- a/include/kingcupshunt/fleet/messages.h
+++ b/include/kingcupshunt/fleet/messages.h
@@ -115,6 +115,13 @@
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("s", store))
 };
 
+/// Answer to control_join: the instances among which the sender of the request finds the leader
+/// (control_join_answer).
+struct control_join_answer {
+  std::vector<std::string> voters; ///< as known to the answering instance, joining ones included
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("vs", voters))
+};
+
 /// How an attempt failed, for failures that make other entry instances avoid the server.
 enum class failure_kind : std::uint8_t {
   reset = 0, ///< the connection was refused, or ended without a complete answer
--- a/include/kingcupshunt/peer/message_kind.h
+++ b/include/kingcupshunt/peer/message_kind.h
@@ -52,6 +52,7 @@
   failure_share = 111,
   permit_grant = 112,
   limit_report = 113,
+  control_join_answer = 114,
 };
 
 } // namespace kingcupshunt::peer
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -194,6 +194,9 @@
   case message_kind::control_join:
     is_ok = peer::handle<control_join>(body, [&](const auto& m) { on_join(from, m, now); });
     break;
+  case message_kind::control_join_answer:
+    is_ok = peer::handle<control_join_answer>(body, [&](const auto& m) { on_join_answer(m); });
+    break;
   case message_kind::load_pulse:
     is_ok = peer::handle<load_report>(body, [&](const auto& m) { on_pulse(from, m, now); });
     break;
@@ -369,16 +372,6 @@
          now - majority_contact_at_ < settings_.contact_timeout;
 }
 
-void control_core::on_join(std::string_view from, const control_join& join, base::time_point now) {
-  add_control(from);
-  if (join_requests_.find(from) == join_requests_.end()) {
-    const auto& leader = log_->log().leader();
-    log("control_asks_to_join", std::string(from) + " store=" + join.store +
-                                    " leader=" + (leader.empty() ? "unknown" : leader));
-  }
-  join_requests_.insert_or_assign(std::string(from), now);
-}
-
 void control_core::tick(base::time_point now) {
   apply_pending_document();
   place_waiting(now);
--- a/src/fleet/control_voters.cpp
+++ b/src/fleet/control_voters.cpp
@@ -63,6 +63,31 @@
   }
 }
 
+/// Only the leader adds voters, and the settings of an instance need not name it. The answer names
+/// the voters, so that the next requests reach the leader wherever it is.
+void control_core::on_join(std::string_view from, const control_join& join, base::time_point now) {
+  add_control(from);
+  if (join_requests_.find(from) == join_requests_.end()) {
+    const auto& leader = log_->log().leader();
+    log("control_asks_to_join", std::string(from) + " store=" + join.store +
+                                    " leader=" + (leader.empty() ? "unknown" : leader));
+  }
+  join_requests_.insert_or_assign(std::string(from), now);
+  control_join_answer answer;
+  for (const auto& v : log_->log().voters().voters) {
+    answer.voters.push_back(v.id);
+  }
+  const auto& joining = log_->log().voters().joining;
+  answer.voters.insert(answer.voters.end(), joining.begin(), joining.end());
+  hooks_.send(from, message_kind::control_join_answer, peer::pack(answer));
+}
+
+void control_core::on_join_answer(const control_join_answer& answer) {
+  for (const auto& id : answer.voters) {
+    add_control(id);
+  }
+}
+
 /// An even number of voters tolerates no more failures than the odd number below it. A lost voter
 /// is therefore removed soon from an even number, and from an odd number only after a time that
 /// repairs rarely exceed.
--- a/tests/fleet/control_core_test.cpp
+++ b/tests/fleet/control_core_test.cpp
@@ -29,9 +29,10 @@
     message_kind kind{};
   };
 
-  small_fleet() {
+  explicit small_fleet(std::vector<std::string> first = {"c1", "c2", "c3"})
+      : ids(std::move(first)) {
     for (const auto& id : ids) {
-      make_control(id);
+      make_control(id, ids, ids);
     }
     entry_link_settings s;
     s.self = "e1";
@@ -49,7 +50,10 @@
     entry->set_seeds(ids);
   }
 
-  void make_control(const std::string& id) {
+  /// Starts a control instance that is told of `seeds`. Without initial voters, it joins the
+  /// others.
+  void make_control(const std::string& id, const std::vector<std::string>& seeds,
+                    const std::vector<std::string>& initial_voters) {
     auto& c = controls[id];
     control_settings settings;
     settings.self = id;
@@ -63,12 +67,12 @@
       return nlohmann::json::parse(text);
     };
     c.core = std::make_unique<control_core>(std::move(settings), std::move(hooks));
-    for (const auto& other : ids) {
+    for (const auto& other : seeds) {
       c.core->add_control(other);
     }
     consensus::replica_settings replica;
     replica.self = {id, id};
-    replica.initial_voters = ids;
+    replica.initial_voters = initial_voters;
     replica.seed = base::hash64(id);
     document_log_hooks log_hooks;
     log_hooks.send = [this, id](std::string_view to, message_kind kind, std::string body) {
@@ -136,7 +140,7 @@
     return *controls.begin()->second.log;
   }
 
-  std::vector<std::string> ids{"c1", "c2", "c3"};
+  std::vector<std::string> ids; ///< control instances of the first start
   base::time_point now{base::seconds(1000)};
   std::map<std::string, control, std::less<>> controls;
   std::unique_ptr<entry_link> entry;
@@ -242,23 +246,7 @@
 TEST_CASE("a lost voter of an even number is removed, and added again when it is back") {
   small_fleet f;
   f.run(base::seconds(4));
-  f.ids.push_back("c4");
-  f.make_control("c4");
-  // The fourth joins by request; its settings name no voters.
-  f.controls["c4"].log.reset();
-  consensus::replica_settings replica;
-  replica.self = {"c4", "c4"};
-  document_log_hooks hooks;
-  auto& c = f.controls["c4"];
-  hooks.send = [&f](std::string_view to, message_kind kind, std::string body) {
-    f.send("c4", to, kind, std::move(body));
-  };
-  hooks.persist = [&c](consensus::write_batch batch) { c.writes.push_back(std::move(batch)); };
-  hooks.save_snapshot = [](const consensus::snapshot&) {};
-  hooks.on_document = [](const versioned_document&) {};
-  c.log = std::make_unique<document_log>(std::move(replica), std::move(hooks),
-                                         consensus::recovered_state{}, f.now);
-  c.core->set_log(c.log.get());
+  f.make_control("c4", f.ids, {});
   f.run(base::seconds(4));
   REQUIRE(f.leader().log().voters().voters.size() == 4);
   const std::string lost = f.leader().log().leader() == "c4" ? "c1" : "c4";
@@ -271,6 +259,42 @@
   CHECK(f.leader().log().voters().voters.size() == 4);
 }
 
+// Guards against a quorum that is lost for good when instances are replaced one by one: those that
+// are added know only their seeds, and none of these leads.
+TEST_CASE("a control instance whose seeds don't name the leader joins the others") {
+  small_fleet f({"c1", "c2", "c3", "c4", "c5"});
+  f.run(base::seconds(4));
+  for (int i = 6; i <= 8; ++i) {
+    const auto leader = f.leader().log().leader();
+    std::vector<std::string> seeds;
+    for (const auto& [id, c] : f.controls) {
+      if (id != leader && !f.cut.contains(id)) {
+        seeds.push_back(id);
+      }
+    }
+    f.cut.insert(seeds.front());
+    seeds.erase(seeds.begin());
+    const auto added = "c" + std::to_string(i);
+    f.make_control(added, seeds, {});
+    f.run(base::seconds(10));
+    REQUIRE(f.leader().log().voters().find(added) != nullptr);
+  }
+  std::optional<bool> accepted;
+  f.leader().propose(
+      document(7, "fitting"), [&](bool ok) { accepted = ok; }, f.now);
+  f.run(base::seconds(1));
+  CHECK(accepted == true);
+}
+
+TEST_CASE("a control instance joins through one that has itself just joined") {
+  small_fleet f;
+  f.run(base::seconds(4));
+  f.make_control("c4", {"c1", "c2", "c3"}, {});
+  f.make_control("c5", {"c4"}, {});
+  f.run(base::seconds(6));
+  CHECK(f.leader().log().voters().find("c5") != nullptr);
+}
+
 TEST_CASE("replaying the log does not restore an older document") {
   small_fleet f;
   f.run(base::seconds(4));
