Let a server that refused count as full for a limited time only

Cause: a refusal set the reported load of the server to all of its slots until the next load report. Relays report only loads that change, and a refusal within the report interval changes none. Once each entry took each server for full, nobody sent the request that would have changed one.

Change: the refusal is kept apart from the report and ends after refusal_hold (250 ms) or with a report; a report ends after report_lifetime (2.5 s) without its repetition, which is due each second; a refusal or a 421 of a former incarnation is no longer held against the present one, which a late 421 took out of use for good.

Tests: three cases in server_board_test.cpp failed before and pass now, one for each of the three.

--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -86,6 +86,12 @@
   /// Time for which a server known only from before a restart of its control instance is used
   /// without a new announcement. A running server announces itself again within that time.
   base::duration restored_lifetime = base::milliseconds(2800);
+  /// Time for which a server that refused a request for lack of a free slot counts as full, unless a
+  /// load report names it first. About the time until one of its requests ends.
+  base::duration refusal_hold = base::milliseconds(250);
+  /// A reported load ends after this time without a repetition. Relays repeat all of them at least
+  /// each second, and drop an instance that has not reported for as long.
+  base::duration report_lifetime = base::milliseconds(2500);
   /// Random part of the end of a server's pause, so that not all instances return at once.
   base::duration pause_spread = base::milliseconds(100);
   double latency_gain = 0.2; ///< weight of a new answer in the mean response time of a server
@@ -244,9 +250,10 @@
     base::time_point cold_until{};
     base::time_point usable_until = base::time_point::max();
     std::map<std::uint64_t, running> own_requests; ///< by request serial
-    std::uint32_t others_in_flight = 0;
-    bool is_refusal_last = false; ///< `others_in_flight` is from a refusal, not from a report
-    std::uint32_t reported = 0; ///< own requests in flight as last reported
+    std::uint32_t others_in_flight = 0; ///< as last reported, until `others_until`
+    base::time_point others_until{};
+    base::time_point full_until{}; ///< a refusal said that no slot is free
+    std::uint32_t reported = 0;    ///< own requests in flight as last reported
     episode_estimator estimator;
     episode_record history;
     double mean_seconds = 0; ///< of complete answers; 0 before the first one
@@ -279,7 +286,8 @@
   double slowness(const server& s, const service_state& of, base::time_point now) const;
   double cost(const server& s, const service_state& of, bool is_repeatable,
               base::time_point now) const;
-  static std::uint32_t in_flight(const server& s) noexcept;
+  static std::uint32_t others_in_flight(const server& s, base::time_point now) noexcept;
+  static std::uint32_t in_flight(const server& s, base::time_point now) noexcept;
   static bool is_usable(const server& s, base::time_point now) noexcept;
   static bool is_leaving(const server& s) noexcept;
   void note_failure(server& s, fleet::failure_note note, base::time_point now);
--- a/src/balance/server_board.cpp
+++ b/src/balance/server_board.cpp
@@ -81,8 +81,14 @@
   return s.record.state == fleet::server_state::ready && now < s.usable_until && !is_leaving(s);
 }
 
-std::uint32_t server_board::in_flight(const server& s) noexcept {
-  return static_cast<std::uint32_t>(s.own_requests.size()) + s.others_in_flight;
+std::uint32_t server_board::others_in_flight(const server& s, base::time_point now) noexcept {
+  return now < s.others_until ? s.others_in_flight : 0;
+}
+
+std::uint32_t server_board::in_flight(const server& s, base::time_point now) noexcept {
+  const auto others = others_in_flight(s, now);
+  return static_cast<std::uint32_t>(s.own_requests.size()) +
+         (now < s.full_until ? std::max(others, s.record.slots) : others);
 }
 
 void server_board::decay(episode_record& r, base::duration time_constant, base::time_point now) {
@@ -136,7 +142,7 @@
 
 double server_board::cost(const server& s, const service_state& of, bool is_repeatable,
                           base::time_point now) const {
-  const double load = (in_flight(s) + 1.0) / std::max<std::uint32_t>(s.record.slots, 1);
+  const double load = (in_flight(s, now) + 1.0) / std::max<std::uint32_t>(s.record.slots, 1);
   const double risk = is_repeatable ? settings_.repeatable_risk : settings_.unrepeatable_risk;
   // Some servers have short fault episodes again and again. The first request in such an episode
   // should be a repeatable one.
@@ -205,7 +211,7 @@
     // instances avoid it.
     const bool is_limited = s.permits.limit().has_value();
     usable += is_limited ? 0 : 1;
-    if (in_flight(s) > 0 || now < s.due_at + extra) {
+    if (in_flight(s, now) > 0 || now < s.due_at + extra) {
       continue;
     }
     idle += is_limited ? 0 : 1;
@@ -248,7 +254,7 @@
         std::ranges::find(tried, s->record.id) != tried.end()) {
       continue;
     }
-    if (in_flight(*s) >= s->record.slots + settings_.queued_per_server ||
+    if (in_flight(*s, now) >= s->record.slots + settings_.queued_per_server ||
         !s->permits.may_send(now) || unpaused_starts(*s, now) == 0) {
       is_busy = true;
       continue;
@@ -322,6 +328,8 @@
   const bool was_late = run != s.own_requests.end() && run->second.is_late;
   const bool is_lost = run == s.own_requests.end() || !run->second.is_repeatable;
   const bool is_excused = run != s.own_requests.end() && run->second.is_excused;
+  const bool is_former =
+      run != s.own_requests.end() && run->second.started_ms != s.record.started_ms;
   if (run != s.own_requests.end()) {
     note_pause(s, run->second, a, now);
     s.own_requests.erase(run);
@@ -343,6 +351,9 @@
     }
     return;
   }
+  if (a.end == attempt_end::shed && is_former) {
+    return; // another incarnation refused
+  }
   if (a.end == attempt_end::shed && a.status == wrong_instance_status) {
     // Another server uses this address now, so this one has stopped.
     s.record.state = fleet::server_state::gone;
@@ -353,9 +364,9 @@
     return; // the pause says more than a count of slots
   }
   if (a.end == attempt_end::shed) {
-    // The server has fewer free slots than known here; the next load report corrects the count.
-    s.others_in_flight = std::max(s.others_in_flight, s.record.slots);
-    s.is_refusal_last = true;
+    // The server has fewer free slots than known here. The next load report that names it corrects
+    // this, but none does unless the load of the server as its relay knows it changes.
+    s.full_until = now + settings_.refusal_hold;
     return;
   }
   if (a.end != attempt_end::ok) {
@@ -394,7 +405,7 @@
       continue;
     }
     auto& r = is_likely_faulty(*s, now) ? likely_faulty : healthy;
-    const auto busy = in_flight(*s);
+    const auto busy = in_flight(*s, now);
     r.slots += s->record.slots;
     const auto free = busy < s->record.slots ? s->record.slots - busy : 0;
     r.free += std::min({free, s->permits.available(now), unpaused_starts(*s, now)});
@@ -473,8 +484,8 @@
   std::vector<board_entry> out;
   for (const auto& [id, s] : servers_) {
     const auto of = services_.find(s.record.service);
-    out.push_back({s.record, static_cast<std::uint32_t>(s.own_requests.size()), s.others_in_flight,
-                   failure_chance(s, now),
+    out.push_back({s.record, static_cast<std::uint32_t>(s.own_requests.size()),
+                   others_in_flight(s, now), failure_chance(s, now),
                    of == services_.end() ? 1 : slowness(s, of->second, now)});
   }
   return out;
--- a/src/balance/server_board_reports.cpp
+++ b/src/balance/server_board_reports.cpp
@@ -45,7 +45,8 @@
     if (it != servers_.end()) {
       // The total includes what this instance last reported.
       it->second.others_in_flight = load.in_flight - std::min(load.in_flight, it->second.reported);
-      it->second.is_refusal_last = false;
+      it->second.others_until = now + settings_.report_lifetime;
+      it->second.full_until = {};
       if (it->second.others_in_flight > 0) {
         note_use(it->second, now);
       }
@@ -69,7 +70,7 @@
   is_relay_local_ = is_local;
   for (auto& [id, s] : servers_) {
     s.others_in_flight = 0;
-    s.is_refusal_last = false;
+    s.full_until = {};
   }
 }
 
@@ -112,8 +113,8 @@
       ++out.usable;
       out.slots += s->record.slots;
       out.own += static_cast<std::uint32_t>(s->own_requests.size());
-      out.others += s->is_refusal_last ? 0 : s->others_in_flight;
-      out.refused += s->is_refusal_last ? 1 : 0;
+      out.others += others_in_flight(*s, now);
+      out.refused += now < s->full_until ? 1 : 0;
     }
   }
   return out;
--- a/tests/balance/server_board_test.cpp
+++ b/tests/balance/server_board_test.cpp
@@ -102,6 +102,46 @@
   CHECK(full.error() == board_error::all_busy);
 }
 
+// Guards against a service that gets no request for good after its servers refused some as full: a
+// refusal within one report interval changes no load report, so that none corrects the count.
+TEST_CASE("servers that refused are used again though no load report names them") {
+  board_fixture f(2);
+  for (std::uint64_t i = 1; i <= 2; ++i) {
+    const auto id = f.begin(i, false, start);
+    REQUIRE(!id.empty());
+    f.board.end(id, i, attempt(attempt_end::shed), start);
+  }
+  REQUIRE(f.board.take_report().loads.empty());
+  CHECK(f.board.free_slots("fitting", start) == 0);
+  const auto later = start + base::seconds(1);
+  CHECK(f.board.free_slots("fitting", later) == 6);
+  CHECK(!f.begin(3, false, later).empty());
+}
+
+// Guards against a lost report: its sender repeats only the counts that change.
+TEST_CASE("a reported load that is not repeated ends") {
+  board_fixture f(1);
+  f.board.apply_total({false, {{"s0", 4}}, {}, {}}, start);
+  CHECK(f.board.free_slots("fitting", start + base::seconds(1)) == 0);
+  CHECK(f.board.free_slots("fitting", start + base::seconds(4)) == 3);
+}
+
+// Guards against a verdict on a former incarnation that nothing takes back.
+TEST_CASE("an answer of a server's former incarnation says nothing about the present one") {
+  board_fixture f(1);
+  REQUIRE(f.begin(1, true, start) == "s0");
+  REQUIRE(f.begin(2, true, start) == "s0");
+  auto again = record("s0");
+  again.started_ms = 2;
+  f.board.set_record(again, start);
+  auto wrong_instance = attempt(attempt_end::shed);
+  wrong_instance.status = 421;
+  f.board.end("s0", 1, wrong_instance, start);
+  f.board.end("s0", 2, attempt(attempt_end::shed), start);
+  CHECK(f.board.free_slots("fitting", start) == 3);
+  CHECK(f.begin(3, true, start) == "s0");
+}
+
 TEST_CASE("a server whose address answers for another one is not used until it has started again") {
   board_fixture f(2);
   auto a = attempt(attempt_end::shed);
