Match a path only if it begins with the prefix as stated

Cause: the index of prefixes leaves out the last slash, and a hit in the index counted as a match.

Change: a candidate from the index matches only if the path begins with its prefix. Prefixes that differ in the last slash alone stay duplicates, so that builds of before and after accept the same configurations.

Test: "a prefix that ends with a slash matches only paths that begin with it" failed before (2 checks) and passes now.

--- a/src/config/snapshot.cpp
+++ b/src/config/snapshot.cpp
@@ -71,7 +71,7 @@
 std::string prefix_key(std::string_view host, std::string_view prefix) {
   std::string out(host);
   out.push_back('\n');
-  // "/fit" and "/fit/" match the same paths.
+  // "/fit" and "/fit/" share a place. They differ only for the path "/fit", see match().
   if (prefix.size() > 1 && prefix.back() == '/') {
     prefix.remove_suffix(1);
   }
@@ -130,12 +130,16 @@
 
 std::shared_ptr<const route> snapshot::match(std::string_view host, std::string_view method,
                                              std::string_view path) const {
+  const auto whole = path;
   while (true) {
     const auto it = routes_by_prefix_.find(prefix_key(host, path));
     if (it != routes_by_prefix_.end()) {
       // A route that names the method goes before one for all methods.
       std::shared_ptr<const route> any;
       for (const auto& candidate : it->second) {
+        if (!whole.starts_with(candidate->prefix)) {
+          continue; // the prefix ends with a slash that the path lacks
+        }
         if (candidate->methods.empty()) {
           any = candidate;
         } else if (allows_method(*candidate, method)) {
--- a/tests/config/snapshot_test.cpp
+++ b/tests/config/snapshot_test.cpp
@@ -54,6 +54,25 @@
   CHECK(s.find_route("h", "GET", "/fitting") == nullptr);
 }
 
+// Guards against a request that is run by the service of a route which doesn't allow it.
+TEST_CASE("a prefix that ends with a slash matches only paths that begin with it") {
+  auto all = base_files();
+  all["20-order.json"] = R"({
+    "services": {"orders": {"secret_sha256": ")" +
+                         digest_a + R"("}},
+    "routes": {"order": {"service": "orders", "prefix": "/order/", "host": "h"}}})";
+  auto parsed = config::parse(all);
+  REQUIRE(parsed);
+  CHECK(parsed.value().find_route("h", "POST", "/order/7")->name == "order");
+  CHECK(parsed.value().find_route("h", "POST", "/order/")->name == "order");
+  CHECK(parsed.value().find_route("h", "POST", "/order") == nullptr);
+  all["30-rest.json"] = R"({"routes": {"rest": {"service": "fitting", "prefix": "/"}}})";
+  parsed = config::parse(all);
+  REQUIRE(parsed);
+  CHECK(parsed.value().find_route("h", "POST", "/order")->name == "rest");
+  CHECK(parsed.value().find_route("h", "POST", "/order/")->name == "order");
+}
+
 TEST_CASE("an error names file, pointer and what is allowed") {
   auto all = base_files();
   all["20-bad.json"] = R"({"services": {"fitting": {"floor": 1.5}}})";
