--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -86,8 +86,8 @@
   /// Time for which a server known only from before a restart of its control instance is used
   /// without a new announcement. A running server announces itself again within that time.
   base::duration restored_lifetime = base::milliseconds(2800);
-  /// Time for which a server that refused a request for lack of a free slot counts as full, unless a
-  /// load report names it first. About the time until one of its requests ends.
+  /// Time for which a server that refused a request for lack of a free slot counts as full, unless
+  /// a load report names it first. About the time until one of its requests ends.
   base::duration refusal_hold = base::milliseconds(250);
   /// A reported load ends after this time without a repetition. Relays repeat all of them at least
   /// each second, and drop an instance that has not reported for as long.
@@ -250,7 +250,7 @@
     base::time_point cold_until{};
     base::time_point usable_until = base::time_point::max();
     std::map<std::uint64_t, running> own_requests; ///< by request serial
-    std::uint32_t others_in_flight = 0; ///< as last reported, until `others_until`
+    std::uint32_t others_in_flight = 0;            ///< as last reported, until `others_until`
     base::time_point others_until{};
     base::time_point full_until{}; ///< a refusal said that no slot is free
     std::uint32_t reported = 0;    ///< own requests in flight as last reported
--- a/src/node/entry_logs.cpp
+++ b/src/node/entry_logs.cpp
@@ -14,8 +14,8 @@
 constexpr base::milliseconds suspicion_interval{250};
 constexpr base::milliseconds full_services_interval{250};
 constexpr base::seconds long_full_time{1}; ///< a service that is full for shorter is not logged
-constexpr double log_rate = 40;   // request log lines per second
-constexpr double log_burst = 200; // request log lines
+constexpr double log_rate = 40;            // request log lines per second
+constexpr double log_burst = 200;          // request log lines
 
 } // namespace
 
@@ -43,8 +43,8 @@
   }
 }
 
-/// Writes a line when requests have waited for a service without a free slot for long, and when that
-/// ends: what its slots are taken for tells a lack of servers from a wrong count.
+/// Writes a line when requests have waited for a service without a free slot for long, and when
+/// that ends: what its slots are taken for tells a lack of servers from a wrong count.
 void entry_traffic::log_full_services(base::time_point now) {
   if (now < full_services_at_) {
     return;
