Bound what all answers on their way hold together

Cause: each answer had its bounds, their sum had none. When the memory for answers was used up, an answer without a length was still collected up to 1 MiB and copied once more to be passed on; read buffers and heads were not counted.

Change: what an answer holds is leased as it grows (base::memory_budget, until now proxy::body_memory); short of memory, bodies are passed on as they arrive in small reads and a long head is a failure. The collected part is moved and freed once it is written; an assignment of an empty string had kept it. Tunnels read 16 KiB at once.

--- a/include/kingcupshunt/proxy/body_memory.h
+++ b/include/kingcupshunt/base/memory_budget.h
@@ -3,14 +3,14 @@
 #include <cstddef>
 #include <memory>
 
-namespace kingcupshunt::proxy {
+namespace kingcupshunt::base {
 
-/// Bounds the memory for the bodies of all answers that are on their way through an entry.
-class body_memory {
+/// Bounds the sum of memory that many readers hold at the same time. Not thread-safe.
+class memory_budget {
 public:
-  explicit body_memory(std::size_t limit_bytes);
+  explicit memory_budget(std::size_t limit_bytes);
 
-  /// A share of the memory, given back on destruction. May outlive the body_memory.
+  /// A share of the memory, given back on destruction. May outlive the memory_budget.
   class lease {
   public:
     lease() = default;
@@ -21,7 +21,7 @@
     std::size_t size() const noexcept { return size_; } ///< bytes; 0: nothing was granted
 
   private:
-    friend class body_memory;
+    friend class memory_budget;
     lease(std::shared_ptr<std::size_t> used, std::size_t size);
 
     std::shared_ptr<std::size_t> used_;
@@ -35,6 +35,10 @@
   /// limit is exceeded by `least` for each such answer.
   lease take_some(std::size_t wanted, std::size_t least);
 
+  /// Raises `of`, a lease of this budget or an empty one, to `bytes`. Returns whether it has them;
+  /// otherwise it is unchanged.
+  bool extend(lease& of, std::size_t bytes);
+
   std::size_t used() const noexcept { return *used_; }
 
 private:
@@ -42,4 +46,4 @@
   std::shared_ptr<std::size_t> used_ = std::make_shared<std::size_t>(0);
 };
 
-} // namespace kingcupshunt::proxy
+} // namespace kingcupshunt::base
--- a/include/kingcupshunt/proxy/entry_settings.h
+++ b/include/kingcupshunt/proxy/entry_settings.h
@@ -36,7 +36,8 @@
   std::size_t max_read_ahead_bytes = std::size_t{16} * 1024;
   std::size_t max_stored_answer_bytes =
       std::size_t{64} * 1024; ///< largest answer stored for resends
-  /// Bodies of all answers on their way. Short of it, answers are passed on as they arrive.
+  /// Long heads and the bodies of all answers on their way. Short of it, answers are passed on as
+  /// they arrive, and long heads are failures; each answer then holds 36 KiB at most.
   std::size_t max_answer_memory_bytes = std::size_t{64} << 20U;
   std::size_t max_drain_bytes = std::size_t{256} * 1024; ///< read from the rest of a refused body
   unsigned max_tries = 4;                                ///< tries of one request, including hedges
--- a/src/proxy/entry_context.h
+++ b/src/proxy/entry_context.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "kingcupshunt/base/hash.h"
-#include "kingcupshunt/proxy/body_memory.h"
+#include "kingcupshunt/base/memory_budget.h"
 #include "kingcupshunt/proxy/entry_server.h"
 #include "kingcupshunt/proxy/hooks.h"
 #include "upstream_pool.h"
@@ -28,7 +28,7 @@
   hooks hook;
   observe::metrics& metrics;
   upstream_pool pool;
-  body_memory answer_memory;
+  base::memory_budget answer_memory;
   interceptor intercept;
   bool is_stopping = false;
   std::optional<stop_window> stop; ///< set when a planned stop has begun
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -19,6 +19,12 @@
 namespace {
 
 constexpr std::size_t max_answer_fields = 200;
+/// A longer head counts toward the memory for answers.
+constexpr std::size_t small_head_bytes = std::size_t{8} * 1024;
+/// The buffer of a head has up to twice its size, and the fields are copied once.
+constexpr std::size_t head_memory_factor = 3;
+/// First piece of a body that is collected without knowing how much of it will come.
+constexpr std::size_t least_piece_bytes = std::size_t{16} * 1024;
 
 attempt_end end_of_failed_body(body_state state) noexcept {
   return state == body_state::closed      ? attempt_end::truncated
@@ -210,10 +216,15 @@
 /// Reads until a whole head is buffered. The caller determines its size.
 awaitable<bool> exchange::read_head_bytes() {
   const auto stream = connection_->stream;
+  stream->limit_reads(timed_socket::min_read_bytes);
   std::size_t searched = 0;
   while (find_head_end(stream->buffered(), searched) == std::string_view::npos) {
     searched = stream->buffered().size();
-    if (searched > context_.settings.max_answer_head_bytes) {
+    const bool has_room =
+        searched <= small_head_bytes ||
+        context_.answer_memory.extend(answer_lease_, head_memory_factor * searched);
+    if (searched > context_.settings.max_answer_head_bytes || !has_room) {
+      context_.metrics.count("upstream_long_heads_total", has_room ? "too_long" : "no_memory");
       end_ = attempt_end::malformed;
       co_return false;
     }
@@ -352,19 +363,19 @@
   if (!must_collect) {
     co_return;
   }
-  constexpr std::size_t least_piece_bytes = std::size_t{16} * 1024;
-  if (length && !request_->must_store && answer().result_int() < 500) {
-    body_lease_ = context_.answer_memory.take(*length);
-    if (body_lease_.size() == 0) {
-      context_.metrics.count("answers_not_collected_total");
-      co_return;
-    }
-  } else {
-    body_lease_ = context_.answer_memory.take_some(length.value_or(limit), least_piece_bytes);
+  const bool may_pass_on = length && !request_->must_store && answer().result_int() < 500;
+  if (may_pass_on && !make_room(static_cast<std::size_t>(*length), false)) {
+    context_.metrics.count("answers_not_collected_total");
+    co_return;
   }
   std::size_t size = 0;
   while (!is_whole_ && size <= limit) {
-    collected_body_.resize(length ? static_cast<std::size_t>(*length) : size + least_piece_bytes);
+    const auto wanted = length ? static_cast<std::size_t>(*length)
+                               : std::max(least_piece_bytes, std::min(2 * size, limit + 1));
+    if (size == collected_body_.size() && !make_room(wanted, size == 0)) {
+      context_.metrics.count("answers_not_collected_total");
+      break; // the rest is passed on as it arrives
+    }
     const auto got =
         co_await read_more(collected_body_.data() + size, collected_body_.size() - size);
     size += got.size;
@@ -376,6 +387,31 @@
   collected_body_.resize(size);
 }
 
+/// Enlarges collected_body_ to `wanted` bytes, or `is_first` to one piece when there is less
+/// memory. Reads are as large as the memory allows.
+bool exchange::make_room(std::size_t wanted, bool is_first) {
+  auto& memory = context_.answer_memory;
+  const auto read_bytes = std::min(wanted, timed_socket::max_read_bytes);
+  if (memory.extend(answer_lease_, wanted + read_bytes)) {
+    limit_reads(read_bytes);
+  } else if (!memory.extend(answer_lease_, wanted)) {
+    if (!is_first) {
+      return false;
+    }
+    wanted = std::min(wanted, least_piece_bytes); // an answer that has begun must go on
+  }
+  std::string grown(wanted, '\0'); // resize() may allocate twice as much
+  std::ranges::copy(collected_body_, grown.begin());
+  collected_body_ = std::move(grown);
+  return true;
+}
+
+void exchange::limit_reads(std::size_t bytes) {
+  if (connection_) {
+    connection_->stream->limit_reads(bytes);
+  }
+}
+
 awaitable<body_piece> exchange::read_more(char* out, std::size_t capacity) {
   if (!connection_) {
     co_return body_piece{0, body_state::closed};
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -62,6 +62,13 @@
   bool is_bodyless() const;
   const std::string& collected_body() const noexcept { return collected_body_; }
 
+  /// Moves out the part of the body that was collected before the answer is passed on as it
+  /// arrives. Its memory counts toward the limit until release_body_memory.
+  std::string take_collected_body() noexcept { return std::exchange(collected_body_, {}); }
+  void release_body_memory() noexcept { answer_lease_ = {}; }
+  /// Sets the greatest number of bytes that one read of the rest asks for.
+  void limit_reads(std::size_t bytes);
+
   /// Writes a piece of a streamed body with its framing; `is_last` ends the body.
   awaitable<bool> write_body(std::string_view piece, bool is_chunked, bool is_last);
 
@@ -91,6 +98,7 @@
   bool may_answer_end_with_connection() const;
   base::time_point wait_limit() const;
   awaitable<void> collect();
+  bool make_room(std::size_t wanted, bool is_first);
   bool may_resend() const;
   void fail_read(bool has_bytes);
   void finish_answer();
@@ -110,7 +118,7 @@
   std::shared_ptr<upstream_connection> connection_;
   std::optional<response_parser> parser_;
   std::string collected_body_;
-  body_memory::lease body_lease_; ///< of collected_body_
+  base::memory_budget::lease answer_lease_; ///< of a long head, then of collected_body_
   health::attempt_end end_ = health::attempt_end::cancelled;
   std::size_t skipped_bytes_ = 0; ///< of answers to other requests
   unsigned interim_answers_ = 0;
--- a/src/proxy/request_answer.cpp
+++ b/src/proxy/request_answer.cpp
@@ -171,10 +171,9 @@
   const auto head =
       caller_head(ex->answer(), framing, head_.request_id, must_close(), context_.settings.names);
   co_await write_to_caller(head, {});
-  std::string piece = ex->collected_body();
+  std::string piece = ex->take_collected_body();
   std::size_t size = piece.size();
-  const auto lease = context_.answer_memory.take_some(relay_piece_bytes, least_relay_piece_bytes);
-  piece.resize(std::max(piece.size(), lease.size()));
+  base::memory_budget::lease lease; // of `piece` and of the buffer that it is read through
   auto state = body_state::more;
   caller_->stream->expires_at(write_deadline());
   for (;;) {
@@ -200,6 +199,13 @@
     if (is_ended) {
       break;
     }
+    if (lease.size() == 0) {
+      std::string().swap(piece); // an assignment would keep the memory
+      ex->release_body_memory();
+      lease = context_.answer_memory.take_some(2 * relay_piece_bytes, 2 * least_relay_piece_bytes);
+      piece.resize(lease.size() / 2);
+      ex->limit_reads(piece.size());
+    }
     const auto got = co_await ex->read_more(piece.data(), piece.size());
     size = got.size;
     state = got.state;
--- a/src/proxy/timed_socket.cpp
+++ b/src/proxy/timed_socket.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-constexpr std::size_t max_read_bytes = std::size_t{64} * 1024;
-
 /// Why a read that does not wait yielded nothing.
 error_code error_of_empty_read(ssize_t got) {
   const bool is_empty = got < 0 && (errno == EAGAIN || errno == EINTR);
@@ -101,7 +99,7 @@
   buffer_.commit(n);
   note_arrival(n);
   if (n == next_read_) {
-    next_read_ = std::min(next_read_ * 2, max_read_bytes);
+    next_read_ = std::min(next_read_ * 2, read_limit_);
   }
   if (ec == asio::error::eof && is_reset_) {
     ec = asio::error::connection_reset;
@@ -159,6 +157,14 @@
   }
 }
 
+void timed_socket::limit_reads(std::size_t bytes) {
+  read_limit_ = std::clamp(bytes, min_read_bytes, max_read_bytes);
+  next_read_ = std::min(next_read_, read_limit_);
+  if (buffer_.capacity() > read_limit_) {
+    buffer_.shrink_to_fit();
+  }
+}
+
 awaitable<error_code> timed_socket::wait_readable() {
   error_code ec;
   if (is_timed_out_) {
--- a/src/proxy/timed_socket.h
+++ b/src/proxy/timed_socket.h
@@ -57,6 +57,12 @@
   /// Frees the read buffer when it is empty.
   void release_buffer();
 
+  static constexpr std::size_t min_read_bytes = std::size_t{4} * 1024;
+  static constexpr std::size_t max_read_bytes = std::size_t{64} * 1024;
+  /// Sets the greatest number of bytes that one read asks for, at least min_read_bytes. With a
+  /// reader that takes all of them before the next read, this bounds the buffer.
+  void limit_reads(std::size_t bytes);
+
   /// Waits until bytes or the end of the stream can be read.
   awaitable<error_code> wait_readable();
 
@@ -75,8 +81,6 @@
   bool has_pending_input();
 
 private:
-  static constexpr std::size_t min_read_bytes = 4096;
-
   /// Bytes of the stream that had arrived at a time.
   struct arrival {
     std::uint64_t end = 0;
@@ -95,6 +99,7 @@
   std::vector<arrival> arrivals_; ///< of the bytes in the buffer, oldest first
   std::size_t written_ = 0;
   std::size_t next_read_ = min_read_bytes;
+  std::size_t read_limit_ = max_read_bytes;
   bool is_timed_out_ = false;
   bool is_reset_ = false; ///< a write has failed because the peer reset the connection
 };
--- a/src/proxy/tunnel_server.cpp
+++ b/src/proxy/tunnel_server.cpp
@@ -29,11 +29,17 @@
 /// A tunnel whose last bytes came from the server this long ago waits for a request.
 constexpr base::milliseconds quiet_after_answer{100};
 
+/// Greatest read of each direction: with it, the buffers of all tunnels together stay in bounds.
+constexpr std::size_t max_tunnel_read_bytes = std::size_t{16} * 1024;
+
 /// One tunnel: the connection of the other instance and the one to the backend server.
 struct tunnel {
   tunnel(tcp::socket accepted, const asio::any_io_executor& ex)
       : peer(std::make_shared<timed_socket>(std::move(accepted))),
-        server(std::make_shared<timed_socket>(tcp::socket(ex))) {}
+        server(std::make_shared<timed_socket>(tcp::socket(ex))) {
+    peer->limit_reads(max_tunnel_read_bytes);
+    server->limit_reads(max_tunnel_read_bytes);
+  }
 
   void close() {
     peer->close();
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -46,6 +46,9 @@
   }
   connection->last_answer = now;
   connection->stream->expires_at(base::time_point::max());
+  if (connection->stream->buffer().capacity() > timed_socket::min_read_bytes) {
+    connection->stream->release_buffer(); // a long answer has enlarged it
+  }
   entries_[connection->upstream_id].idle.push_back(std::move(connection));
 }
 
--- a/tests/proxy/body_memory_test.cpp
+++ b/tests/base/memory_budget_test.cpp
@@ -1,11 +1,11 @@
 #include <doctest/doctest.h>
 
-#include "kingcupshunt/proxy/body_memory.h"
+#include "kingcupshunt/base/memory_budget.h"
 
-using kingcupshunt::proxy::body_memory;
+using kingcupshunt::base::memory_budget;
 
 TEST_CASE("leases never exceed the limit, except by the least share of each answer under way") {
-  body_memory memory(100);
+  memory_budget memory(100);
   auto first = memory.take(60);
   CHECK(first.size() == 60);
   CHECK(memory.take(50).size() == 0);
@@ -21,15 +21,28 @@
   CHECK(memory.used() == 60);
   auto moved = std::move(first);
   CHECK(memory.used() == 60);
-  moved = body_memory::lease();
+  moved = memory_budget::lease();
   CHECK(memory.used() == 0);
 }
 
 TEST_CASE("a lease may outlive the memory that it was taken from") {
-  body_memory::lease lease;
+  memory_budget::lease lease;
   {
-    body_memory memory(10);
+    memory_budget memory(10);
     lease = memory.take(10);
   }
   CHECK(lease.size() == 10);
 }
+
+TEST_CASE("a lease grows while there is memory, and keeps its size otherwise") {
+  memory_budget memory(100);
+  const auto other = memory.take(30);
+  memory_budget::lease lease;
+  CHECK(memory.extend(lease, 20));
+  CHECK(memory.extend(lease, 70));
+  CHECK(!memory.extend(lease, 71));
+  CHECK(lease.size() == 70);
+  CHECK(memory.used() == 100);
+  lease = memory_budget::lease();
+  CHECK(memory.used() == 30);
+}
