Bound what all calls to a control instance hold together

Change: bodies over 16 KiB are leased from http_server_settings::body_memory, an eighth of the process's memory in the control role; a call beyond it gets 503 at once, small ones are served meanwhile. After a refusal the rest of the call is read for a second at most, since a reset would lose the answer.

--- a/include/kingcupshunt/control/http_server.h
+++ b/include/kingcupshunt/control/http_server.h
@@ -20,6 +20,9 @@
   std::size_t body_limit = 16U << 20U; ///< bytes; a larger body is refused with 413
   std::size_t connections = 1024;      ///< further connections are closed at once
   base::milliseconds timeout{30'000};  ///< for one request and its answer
+  /// Bodies of all requests that are read or handled at the same time, beyond small ones. Others
+  /// are refused with 503, since senders in trouble may send bodies without end.
+  std::size_t body_memory = 32U << 20U;
 };
 
 /// HTTP/1.1 server for small requests: announcements and operators' calls. Runs on the event loop
--- a/src/control/http_server.cpp
+++ b/src/control/http_server.cpp
@@ -1,5 +1,7 @@
 #include "kingcupshunt/control/http_server.h"
 
+#include <array>
+#include <bit>
 #include <exception>
 #include <optional>
 #include <utility>
@@ -15,6 +17,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "kingcupshunt/base/memory_budget.h"
 #include "kingcupshunt/observe/event_log.h"
 
 namespace kingcupshunt::control {
@@ -30,6 +33,12 @@
 using parsed_request = http::request<http::string_body>;
 
 constexpr std::uint32_t header_limit_bytes = 16 * 1024;
+constexpr std::size_t read_buffer_bytes = std::size_t{32} * 1024;
+/// A body of this size needs no share of the memory, so that announcements are always received.
+constexpr std::size_t small_body_bytes = std::size_t{16} * 1024;
+/// Of the rest of a refused request, which is read so that its sender gets the answer.
+constexpr std::size_t max_discarded_bytes = std::size_t{1} << 20U;
+constexpr base::milliseconds discard_timeout{1000};
 
 std::string to_lower(std::string_view text) {
   std::string out(text);
@@ -95,7 +104,7 @@
 
 struct http_server::impl : std::enable_shared_from_this<http_server::impl> {
   impl(asio::io_context& io, http_server_settings s, http_handler h)
-      : settings(std::move(s)), handler(std::move(h)), acceptor(io) {
+      : settings(std::move(s)), handler(std::move(h)), acceptor(io), memory(settings.body_memory) {
     const tcp::endpoint at(asio::ip::make_address(settings.address), settings.port);
     acceptor.open(at.protocol());
     acceptor.set_option(tcp::acceptor::reuse_address(true));
@@ -125,7 +134,7 @@
     const auto self = shared_from_this();
     ++open_connections;
     stream connection(std::move(socket));
-    beast::flat_buffer buf;
+    beast::flat_buffer buf(read_buffer_bytes);
     while (acceptor.is_open() && co_await serve_one(connection, buf)) {
     }
     error_code ec;
@@ -133,25 +142,70 @@
     --open_connections;
   }
 
+  // Reads one request. `held` grows with its body. Fails with no_buffer_space when the bodies of
+  // all requests together leave no memory for it.
+  asio::awaitable<error_code> read(stream& connection, beast::flat_buffer& buf,
+                                   http::request_parser<http::string_body>& parser,
+                                   base::memory_budget::lease& held) {
+    error_code ec;
+    co_await http::async_read_header(connection, buf, parser,
+                                     asio::redirect_error(asio::use_awaitable, ec));
+    while (!ec && !parser.is_done()) {
+      const auto size = parser.get().body().capacity();
+      if (size > small_body_bytes && !memory.extend(held, size)) {
+        co_return asio::error::make_error_code(asio::error::no_buffer_space);
+      }
+      co_await http::async_read_some(connection, buf, parser,
+                                     asio::redirect_error(asio::use_awaitable, ec));
+    }
+    co_return ec;
+  }
+
+  // Closing a connection with unread bytes resets it, and the sender might lose the answer.
+  static asio::awaitable<void> discard_rest(stream& connection) {
+    error_code ec;
+    connection.socket().shutdown(tcp::socket::shutdown_send, ec);
+    std::array<char, 4096> bytes{};
+    connection.expires_after(discard_timeout);
+    for (std::size_t sum = 0; !ec && sum < max_discarded_bytes;) {
+      const auto n = co_await connection.async_read_some(
+          asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
+      sum += n;
+    }
+  }
+
+  static http_response response_of(error_code ec) {
+    if (ec == asio::error::no_buffer_space) {
+      return error_response(503, "too_many_bodies", "the bodies of other calls take all memory");
+    }
+    const bool too_large = ec == http::error::body_limit;
+    return error_response(too_large ? 413 : 400, too_large ? "body_too_large" : "bad_request",
+                          ec.message());
+  }
+
   // Answers one request. Returns whether the connection can carry another.
   asio::awaitable<bool> serve_one(stream& connection, beast::flat_buffer& buf) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(settings.body_limit);
     parser.header_limit(header_limit_bytes);
     connection.expires_after(settings.timeout);
-    error_code ec;
-    co_await http::async_read(connection, buf, parser,
-                              asio::redirect_error(asio::use_awaitable, ec));
+    base::memory_budget::lease held;
+    auto ec = co_await read(connection, buf, parser, held);
     if (ec == http::error::end_of_stream || ec == beast::error::timeout) {
       co_return false;
     }
     http_response response;
     bool keep_alive = false;
     unsigned version = 11;
-    if (ec) {
-      const bool too_large = ec == http::error::body_limit;
-      response = error_response(too_large ? 413 : 400, too_large ? "body_too_large" : "bad_request",
-                                ec.message());
+    const bool is_refused = ec.failed();
+    if (is_refused) {
+      response = response_of(ec);
+      if (response.status == 503 && std::has_single_bit(++without_memory)) {
+        observe::log_warning("calls_without_memory",
+                             {{"count", without_memory}, {"held", memory.used()}});
+      }
+      std::string().swap(parser.get().body());
+      held = {};
     } else {
       auto parsed = parser.release();
       keep_alive = parsed.keep_alive();
@@ -167,13 +221,18 @@
     }
     auto out = to_beast(std::move(response), version, keep_alive && acceptor.is_open());
     co_await http::async_write(connection, out, asio::redirect_error(asio::use_awaitable, ec));
+    if (is_refused && !ec) {
+      co_await discard_rest(connection);
+    }
     co_return !ec && out.keep_alive();
   }
 
   http_server_settings settings;
   http_handler handler;
   tcp::acceptor acceptor;
+  base::memory_budget memory;
   std::size_t open_connections = 0;
+  std::uint64_t without_memory = 0; ///< calls that were refused; a few of them are logged
 };
 
 http_server::http_server(asio::io_context& io, http_server_settings settings, http_handler handler)
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -29,6 +29,9 @@
 /// Election timeout of a process that has just started. It can be short without deposing a leader,
 /// since instances that receive heartbeats of a leader grant no vote.
 constexpr base::milliseconds first_election_timeout{150};
+/// Share of the process's memory for the bodies of calls. The rest is for the log, the documents
+/// and the connections.
+constexpr std::size_t body_memory_divisor = 8;
 constexpr const char* servers_file = "servers";
 constexpr base::seconds servers_write_interval{1};
 
@@ -317,9 +320,12 @@
 
 void control_node::set_handlers(control::http_handler control, control::http_handler directory) {
   const auto& s = impl_->runtime.settings;
-  impl_->control_server = std::make_unique<control::http_server>(
-      impl_->runtime.io, control::http_server_settings{s.control.address, s.control.port},
-      std::move(control));
+  control::http_server_settings calls{s.control.address, s.control.port};
+  if (s.memory_bytes > 0) {
+    calls.body_memory = s.memory_bytes / body_memory_divisor;
+  }
+  impl_->control_server =
+      std::make_unique<control::http_server>(impl_->runtime.io, calls, std::move(control));
   impl_->directory_server = std::make_unique<control::http_server>(
       impl_->runtime.io, control::http_server_settings{s.directory.address, s.directory.port},
       std::move(directory));
