--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -230,6 +230,7 @@
 
   std::vector<board_entry> entries(base::time_point now) const;
   std::map<std::string, service_suspicion, std::less<>> suspicions(base::time_point now) const;
+  /// Why the service has no free slot, for the log.
   service_load load_of(std::string_view service, base::time_point now) const;
 
 private:
--- a/src/node/entry_logs.cpp
+++ b/src/node/entry_logs.cpp
@@ -60,7 +60,10 @@
       continue;
     }
     auto& period = it->second;
-    if (is_full ? !period.is_logged && now - period.since >= long_full_time : period.is_logged) {
+    const bool has_become_long =
+        is_full && !period.is_logged && now - period.since >= long_full_time;
+    const bool has_ended = !is_full && period.is_logged;
+    if (has_become_long || has_ended) {
       const auto load = board_.load_of(service, now);
       period.is_logged = true;
       observe::log_info("service_full", {{"service", service},
