Bound what frames of all other instances hold together

Change: an incomplete frame over 64 KiB is leased from transport_limits::frame_memory, an eighth of the process's memory in the roles; a connection that finds none is closed and connects anew. A reader gives back the memory of a large frame. Unauthenticated connections are limited to 1,024.

--- a/include/kingcupshunt/peer/frame.h
+++ b/include/kingcupshunt/peer/frame.h
@@ -70,6 +70,9 @@
   /// The stream has ended. Fails with `truncated` inside a packet.
   frame_result<void> finish() const;
 
+  /// Bytes of memory that the packets not taken yet occupy.
+  std::size_t memory_bytes() const noexcept { return buf_.capacity(); }
+
 private:
   std::size_t limit_;
   std::string buf_;
--- a/include/kingcupshunt/peer/transport.h
+++ b/include/kingcupshunt/peer/transport.h
@@ -28,9 +28,13 @@
 const char* message_of(transport_error error) noexcept;
 
 struct transport_limits {
-  std::size_t max_queued_messages = 1024;             ///< per peer; the oldest is dropped
-  std::size_t max_queued_bytes = 4U << 20U;           ///< per peer
-  std::size_t max_incoming = 8192;                    ///< accepted connections
+  std::size_t max_queued_messages = 1024;   ///< per peer; the oldest is dropped
+  std::size_t max_queued_bytes = 4U << 20U; ///< per peer
+  std::size_t max_incoming = 8192;          ///< accepted connections
+  std::size_t max_unauthenticated = 1024;   ///< of these, before the handshake's end
+  /// Incomplete frames of all connections together, beyond small ones. A connection whose frame
+  /// finds no memory is closed.
+  std::size_t frame_memory = 32U << 20U;
   base::duration max_queue_time = base::seconds(2);   ///< older messages are dropped unsent
   base::duration connect_timeout = base::seconds(2);  ///< including the handshake
   base::duration heartbeat = base::milliseconds(500); ///< greatest pause on a used connection
@@ -71,7 +75,8 @@
   std::uint64_t silent_connections = 0;
   std::uint64_t frame_errors = 0;
   std::uint64_t handshake_errors = 0;
-  std::uint64_t refused_connections = 0; ///< beyond max_incoming
+  std::uint64_t refused_connections = 0; ///< beyond max_incoming or max_unauthenticated
+  std::uint64_t closed_for_memory = 0;   ///< connections whose frame found no memory
 };
 
 /// Carries messages between instances over authenticated TCP connections. All calls and handlers
--- a/src/node/role_runtime.cpp
+++ b/src/node/role_runtime.cpp
@@ -14,6 +14,8 @@
 
 constexpr base::milliseconds tick_interval{25}; // half of the maximum age of load totals
 constexpr base::seconds reload_interval{1};     // settings can change without SIGHUP
+/// Share of the process's memory for incomplete frames of other instances.
+constexpr std::size_t frame_memory_divisor = 8;
 
 std::uint64_t random_number() {
   return base::hash64(base::random_bytes(sizeof(std::uint64_t))) | 1U;
@@ -28,6 +30,9 @@
   out.limits.greatest_backoff = base::milliseconds(200); // reconnects soon after a partition ends
   out.limits.connect_timeout = base::milliseconds(400);  // a host without power sends no answer
   out.limits.silence = base::milliseconds(1500);
+  if (s.memory_bytes > 0) {
+    out.limits.frame_memory = s.memory_bytes / frame_memory_divisor;
+  }
   out.seed = random_number();
   return out;
 }
--- a/src/peer/connection.cpp
+++ b/src/peer/connection.cpp
@@ -12,15 +12,18 @@
 // Before authentication only the hello and proof messages are read.
 constexpr std::size_t max_handshake_bytes = 2048;
 
+// Frames up to this size need no share of the memory for frames.
+constexpr std::size_t small_frame_bytes = 64U << 10U;
+
 // Frames are joined up to this size into one write.
 constexpr std::size_t write_batch_bytes = 64U << 10U;
 
 } // namespace
 
 connection::connection(socket s, handshake_role role, const transport_settings& settings,
-                       std::string expected_peer, transport_counters& counters,
-                       connection_events events)
-    : socket_(std::move(s)), role_(role), settings_(settings), counters_(counters),
+                       std::string expected_peer, base::memory_budget& frames,
+                       transport_counters& counters, connection_events events)
+    : socket_(std::move(s)), role_(role), settings_(settings), frames_(frames), counters_(counters),
       events_(std::move(events)), handshake_(role,
                                              {settings.self_id, settings.fleet, settings.secret,
                                               settings.versions, expected_peer},
@@ -82,7 +85,7 @@
       return;
     }
     if (!packet.value()) {
-      read();
+      has_memory() ? read() : close();
       return;
     }
     if (!handle_packet(*packet.value())) {
@@ -92,6 +95,19 @@
   }
 }
 
+// Leases what an incomplete frame takes. Each is bounded, but an instance has thousands of
+// connections.
+bool connection::has_memory() {
+  const auto n = reader_.memory_bytes();
+  if (n <= small_frame_bytes) {
+    frame_lease_ = {};
+    return true;
+  }
+  const bool out = frames_.extend(frame_lease_, n);
+  counters_.closed_for_memory += out ? 0 : 1;
+  return out;
+}
+
 bool connection::handle_packet(std::string_view content) {
   return is_ready_ ? handle_frame(content) : handle_handshake(content);
 }
--- a/src/peer/connection.h
+++ b/src/peer/connection.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "kingcupshunt/base/memory_budget.h"
 #include "kingcupshunt/peer/handshake.h"
 #include "kingcupshunt/peer/transport.h"
 
@@ -34,7 +35,8 @@
   using socket = boost::asio::ip::tcp::socket;
 
   connection(socket s, handshake_role role, const transport_settings& settings,
-             std::string expected_peer, transport_counters& counters, connection_events events);
+             std::string expected_peer, base::memory_budget& frames, transport_counters& counters,
+             connection_events events);
 
   /// Connects to `endpoint` and starts the handshake.
   void connect(const boost::asio::ip::tcp::endpoint& endpoint);
@@ -60,6 +62,7 @@
 private:
   void read();
   void on_bytes(std::size_t n);
+  bool has_memory();
   bool handle_packet(std::string_view content);
   bool handle_handshake(std::string_view content);
   bool handle_frame(std::string_view content);
@@ -70,10 +73,12 @@
   socket socket_;
   handshake_role role_;
   const transport_settings& settings_;
+  base::memory_budget& frames_;
   transport_counters& counters_;
   connection_events events_;
   handshake handshake_;
   packet_reader reader_;
+  base::memory_budget::lease frame_lease_; ///< of a large frame in reader_
   std::optional<frame_sealer> sealer_;
   std::optional<frame_opener> opener_;
   std::string peer_id_;
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// A reader keeps this much memory for the next packets.
+constexpr std::size_t retained_bytes = 64U << 10U;
+
 constexpr std::size_t frame_elements = 3;
 
 std::string big_endian(std::uint64_t value, std::size_t bytes) {
@@ -92,6 +95,9 @@
 void packet_reader::feed(std::string_view bytes) {
   buf_.erase(0, offset_);
   offset_ = 0;
+  if (buf_.empty() && buf_.capacity() > retained_bytes) {
+    std::string().swap(buf_); // a large packet has enlarged it
+  }
   buf_ += bytes;
 }
 
--- a/src/peer/transport_impl.cpp
+++ b/src/peer/transport_impl.cpp
@@ -83,13 +83,14 @@
 }
 
 void transport::impl::accepted(tcp::socket s) {
-  if (incoming_count >= settings.limits.max_incoming) {
+  if (incoming_count >= settings.limits.max_incoming ||
+      unnamed.size() >= settings.limits.max_unauthenticated) {
     ++counters.refused_connections;
     return;
   }
   ++incoming_count;
   unnamed.push_back(std::make_shared<connection>(std::move(s), handshake_role::server, settings,
-                                                 std::string(), counters, events()));
+                                                 std::string(), frame_memory, counters, events()));
   unnamed.back()->accept();
 }
 
@@ -99,7 +100,7 @@
   }
   ++counters.connects;
   entry.outgoing = std::make_shared<connection>(tcp::socket(context), handshake_role::client,
-                                                settings, id, counters, events());
+                                                settings, id, frame_memory, counters, events());
   entry.outgoing->connect(*entry.address);
 }
 
--- a/src/peer/transport_impl.h
+++ b/src/peer/transport_impl.h
@@ -16,6 +16,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "connection.h"
+#include "kingcupshunt/base/memory_budget.h"
 #include "kingcupshunt/base/rng.h"
 #include "kingcupshunt/peer/transport.h"
 
@@ -39,13 +40,15 @@
   };
 
   impl(boost::asio::io_context& c, transport_settings s)
-      : context(c), settings(std::move(s)), acceptor(c), timer(c), random(settings.seed) {}
+      : context(c), settings(std::move(s)), acceptor(c), timer(c), random(settings.seed),
+        frame_memory(settings.limits.frame_memory) {}
 
   boost::asio::io_context& context;
   transport_settings settings;
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::steady_timer timer;
   base::rng random;
+  base::memory_budget frame_memory;
   transport_counters counters;
   std::map<std::string, peer_entry, std::less<>> peers;
   std::vector<std::shared_ptr<connection>> unnamed; ///< accepted, not yet authenticated
