--- a/tests/support/heap_use.h
+++ b/tests/support/heap_use.h
@@ -57,6 +57,16 @@
 void* operator new[](std::size_t n) {
   return kingcupshunt::testing::allocate(n);
 }
+void* operator new(std::size_t n, const std::nothrow_t&) noexcept {
+  try {
+    return kingcupshunt::testing::allocate(n);
+  } catch (const std::bad_alloc&) {
+    return nullptr;
+  }
+}
+void* operator new[](std::size_t n, const std::nothrow_t&) noexcept {
+  return operator new(n, std::nothrow);
+}
 void operator delete(void* p) noexcept {
   kingcupshunt::testing::release(p);
 }
