--- a/src/balance/server_board_reports.cpp
+++ b/src/balance/server_board_reports.cpp
@@ -102,22 +102,4 @@
   return out;
 }
 
-service_load server_board::load_of(std::string_view service, base::time_point now) const {
-  service_load out;
-  const auto of = services_.find(service);
-  if (of == services_.end()) {
-    return out;
-  }
-  for (const auto* s : of->second.servers) {
-    if (is_usable(*s, now)) {
-      ++out.usable;
-      out.slots += s->record.slots;
-      out.own += static_cast<std::uint32_t>(s->own_requests.size());
-      out.others += others_in_flight(*s, now);
-      out.refused += now < s->full_until ? 1 : 0;
-    }
-  }
-  return out;
-}
-
 } // namespace kingcupshunt::balance
