Lease a body of known length before the read that takes it

Cause: the parser reserves the whole Content-Length at the first byte of a body. Where that byte has come with the head, async_read_some reserves it at once and posts its completion; the lease was asked for only in that completion. Calls whose first bytes are read in one round of the event loop all reserve their bodies before the first is refused. Ruled out: the growth of bodies without a length (chunked cases held), and callers accepted one after the other (with the server held up before it accepts them, the bound held).

The bound is unchanged.

Change: the length is leased before the first read of the body.

--- a/src/control/http_server.cpp
+++ b/src/control/http_server.cpp
@@ -1,5 +1,6 @@
 #include "kingcupshunt/control/http_server.h"
 
+#include <algorithm>
 #include <array>
 #include <bit>
 #include <exception>
@@ -142,12 +143,14 @@
     --open_connections;
   }
 
-  // Memory of the body until the end of the next read. One without a length may grow meanwhile, to
-  // twice its capacity beside the former copy.
+  // Memory of the body until the end of the next read. The first read of one with a length takes
+  // all of it; one without may grow, to twice its capacity beside the former copy.
   static std::size_t memory_of(const http::request_parser<http::string_body>& parser) {
     const auto& body = parser.get().body();
-    const bool may_grow =
-        !parser.content_length() && body.size() + read_buffer_bytes > body.capacity();
+    if (const auto length = parser.content_length()) {
+      return std::max(body.capacity(), static_cast<std::size_t>(*length));
+    }
+    const bool may_grow = body.size() + read_buffer_bytes > body.capacity();
     return body.capacity() * (may_grow ? 3 : 1);
   }
 
--- a/tests/control/many_endless_calls_test.cpp
+++ b/tests/control/many_endless_calls_test.cpp
@@ -44,6 +44,10 @@
     io.stop();
     thread.join();
   }
+  /// Keeps the server from reading for `time`, so that what callers send meanwhile arrives at once.
+  void hold_up(base::milliseconds time) {
+    boost::asio::post(io, [time] { std::this_thread::sleep_for(time); });
+  }
   static control::http_server_settings settings() {
     control::http_server_settings out;
     out.address = "127.0.0.9";
@@ -58,12 +62,17 @@
   std::thread thread;
 };
 
-/// Sends `start` and then `pieces` times `piece`, as far as the server takes them.
 struct endless_caller {
-  endless_caller(const std::string& start, const std::string& piece, int pieces) : socket(io) {
+  endless_caller() : socket(io) {
     socket.connect({boost::asio::ip::make_address("127.0.0.9"), port});
-    thread = std::thread([this, start, piece, pieces] {
-      bool is_open = send(start);
+  }
+  endless_caller(const std::string& head, const std::string& piece, int pieces) : endless_caller() {
+    start(head, piece, pieces);
+  }
+  /// Sends `head` and then `pieces` times `piece`, as far as the server takes them.
+  void start(const std::string& head, const std::string& piece, int pieces) {
+    thread = std::thread([this, head, piece, pieces] {
+      bool is_open = send(head);
       for (int i = 0; is_open && i < pieces; ++i) {
         is_open = send(piece);
       }
@@ -71,7 +80,9 @@
   }
   ~endless_caller() {
     ::shutdown(socket.native_handle(), SHUT_RDWR);
-    thread.join();
+    if (thread.joinable()) {
+      thread.join();
+    }
   }
   bool send(std::string_view bytes) {
     while (!bytes.empty()) {
@@ -90,7 +101,15 @@
 
 const std::string filler(std::size_t{4} * 1024, 'x');
 
-void check_peak(std::size_t n, const std::string& start, const std::string& piece, int pieces) {
+void check_peak(std::size_t n, std::size_t before) {
+  // Announcements are small and are still served.
+  const auto answer = control::call(endpoint, "POST", "/x", "body", timeout);
+  REQUIRE(answer);
+  CHECK(answer.value().status == 200);
+  CHECK(heap_peak_bytes() - before < body_memory + n * least_per_call + own_use);
+}
+
+void check_calls(std::size_t n, const std::string& start, const std::string& piece, int pieces) {
   const running_server running;
   reset_heap_peak();
   const auto before = heap_bytes();
@@ -99,23 +118,45 @@
     callers.push_back(std::make_unique<endless_caller>(start, piece, pieces));
   }
   std::this_thread::sleep_for(base::milliseconds(1500)); // enough for what the server takes
-  // Announcements are small and are still served.
-  const auto answer = control::call(endpoint, "POST", "/x", "body", timeout);
-  REQUIRE(answer);
-  CHECK(answer.value().status == 200);
-  CHECK(heap_peak_bytes() - before < body_memory + n * least_per_call + own_use);
+  check_peak(n, before);
+}
+
+// As check_calls; the server finds the first bytes of all calls at once, as after a pause.
+void check_calls_at_once(std::size_t n, const std::string& start, const std::string& piece,
+                         int pieces) {
+  running_server running;
+  reset_heap_peak();
+  const auto before = heap_bytes();
+  std::vector<std::unique_ptr<endless_caller>> callers;
+  for (std::size_t i = 0; i < n; ++i) {
+    callers.push_back(std::make_unique<endless_caller>());
+  }
+  std::this_thread::sleep_for(base::milliseconds(300)); // until the server has accepted them
+  running.hold_up(base::milliseconds(500));
+  for (auto& caller : callers) {
+    caller->start(start, piece, pieces);
+  }
+  std::this_thread::sleep_for(base::milliseconds(2000));
+  check_peak(n, before);
 }
 
 } // namespace
 
 TEST_CASE("bodies of calls that do not end share a bound, and small calls are served meanwhile") {
+  const std::string chunked = "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk = "1000\r\n" + filler + "\r\n";
+  const std::string sized = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1048576\r\n\r\n";
   SUBCASE("in chunks") {
-    const std::string head = "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
-    check_peak(32, head, "1000\r\n" + filler + "\r\n", 250);
+    check_calls(32, chunked, chunk, 250);
   }
   SUBCASE("with a length") {
-    const std::string head = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1048576\r\n\r\n";
-    check_peak(32, head, filler, 250);
+    check_calls(32, sized, filler, 250);
+  }
+  SUBCASE("in chunks, all at once") {
+    check_calls_at_once(32, chunked + chunk, chunk, 250);
+  }
+  SUBCASE("with a length, all at once") {
+    check_calls_at_once(32, sized + filler, filler, 250);
   }
 }
 
