--- a/tests/control/many_endless_calls_test.cpp
+++ b/tests/control/many_endless_calls_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 
 #include "kingcupshunt/control/http_client.h"
 #include "kingcupshunt/control/http_server.h"
@@ -85,14 +86,9 @@
     }
   }
   bool send(std::string_view bytes) {
-    while (!bytes.empty()) {
-      const auto n = ::send(socket.native_handle(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
-      if (n <= 0) {
-        return false;
-      }
-      bytes.remove_prefix(static_cast<std::size_t>(n));
-    }
-    return true;
+    boost::system::error_code ec;
+    boost::asio::write(socket, boost::asio::buffer(bytes), ec);
+    return !ec;
   }
   boost::asio::io_context io;
   tcp::socket socket;
