Evacuate a data centre by an operator's order in the replicated log

Cause: operators of deployments with several data centres order that no more requests go to the servers of one of them; the calls got 404 unknown_call.

Entries learn of the set by the commit notice and by each answer, and their lease counts a log index only with the evacuations after it. The server board skips the servers, and a request is checked again when its connection is established. With all data centres of a service evacuated, requests get 503 at once. The metrics port answers /status for `kingcupshunt status`.

--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -102,7 +102,8 @@
   unknown_service, ///< no server of the service is known
   all_tried,       ///< the request has tried every server that may be used
   all_busy,        ///< every server is full as far as known
-  all_paused       ///< every server has asked for a pause
+  all_paused,      ///< every server has asked for a pause
+  all_evacuated    ///< every server that could be used is in an evacuated data centre
 };
 
 /// A request that needs a server.
@@ -187,7 +188,15 @@
   /// True when no server of the service may be used and the answers of one say that it leaves.
   bool is_left(std::string_view service, base::time_point now) const;
 
-  /// "ip:port" of a server that has not gone and does not leave; empty when it is not known.
+  /// Sets the data centres whose servers get no further requests (server_board_evacuation.cpp).
+  void set_evacuations(const fleet::evacuation_set& evacuations, base::time_point now);
+  /// True when a server of the service would be usable but for an evacuation, and none is usable.
+  bool is_evacuated(std::string_view service, base::time_point now) const;
+  /// Whether the server is in an evacuated data centre. False for an unknown one.
+  bool is_server_evacuated(std::string_view server) const;
+
+  /// "ip:port" of a server that has not gone, does not leave and is not evacuated; empty when it is
+  /// not known.
   std::string address_of(std::string_view server) const;
   /// Free slots of the usable servers of the service, as far as known. Suspected faulty servers are
   /// excluded unless they are many.
@@ -266,6 +275,7 @@
     /// `started_ms` of the incarnation whose answers said that it leaves.
     std::optional<std::uint64_t> left_incarnation;
     server_pause pause;
+    bool is_evacuated = false; ///< its data centre is
   };
   /// Exponentially decayed counts of requests.
   struct request_count {
@@ -317,6 +327,7 @@
   base::rng rng_;
   std::map<std::string, server, std::less<>> servers_;
   std::map<std::string, service_state, std::less<>> services_;
+  fleet::evacuation_set evacuations_;
   std::vector<fleet::failure_note> failures_; ///< not yet reported
   std::vector<fleet::limit_note> limits_;     ///< not yet reported
   double instances_ = 1;
--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -73,6 +73,10 @@
   /// parses only the newest document.
   void on_document(const versioned_document& document);
 
+  /// The log has newer evacuations. The entries are notified with the next tick or query.
+  void on_evacuations(const evacuation_set& evacuations);
+  const evacuation_set& evacuations() const noexcept { return evacuations_; }
+
   /// Loads the records that this instance persisted before a restart.
   void restore(std::vector<server_record> records, base::time_point now);
   /// Records to persist: the ready servers that announce themselves to this instance.
@@ -139,6 +143,7 @@
 
   void on_query(std::string_view from, const entry_ask& query, base::time_point now);
   void apply_pending_document();
+  void announce_evacuations(); // control_evacuations.cpp
   void on_fetch(std::string_view from, const document_fetch& fetch);
   bool is_sound(const server_record& record);
   void on_share(std::string_view from, const record_share& share, base::time_point now);
@@ -182,6 +187,8 @@
   /// Cached because all entries fetch the same ones at once.
   std::map<std::uint64_t, std::string> newest_texts_;
   std::optional<versioned_document> pending_document_;
+  evacuation_set evacuations_;
+  evacuation_set announced_evacuations_; ///< as last logged and sent to the entries
   std::map<std::uint64_t, pending_share> shares_;
   std::uint64_t next_call_ = 0;
   std::map<std::string, base::time_point, std::less<>> join_requests_;
--- a/include/kingcupshunt/fleet/document_log.h
+++ b/include/kingcupshunt/fleet/document_log.h
@@ -9,6 +9,7 @@
 #include "kingcupshunt/base/result.h"
 #include "kingcupshunt/base/time.h"
 #include "kingcupshunt/consensus/replica.h"
+#include "kingcupshunt/fleet/evacuation.h"
 
 namespace kingcupshunt::fleet {
 
@@ -28,16 +29,45 @@
 template <class T>
 using document_result = base::result<T, document_error>;
 
+/// State of the register: content of its snapshots, and of an entry that is decoded. An entry has
+/// either the first two members or the last one, and the other members keep their defaults.
+/// A build that knows documents only skips `evacuations`, and takes an entry without `version` for
+/// one that is overtaken.
+struct register_content {
+  std::uint64_t version = 0;
+  std::string text;
+  evacuation_set evacuations;
+
+  MSGPACK_DEFINE_MAP(version, text, evacuations)
+};
+
+/// Log entry that replaces the evacuations. Holds the whole set, so that an instance whose state
+/// was restored from a snapshot without it has the right set again after the next order.
+struct evacuation_entry {
+  evacuation_set evacuations;
+
+  MSGPACK_DEFINE_MAP(evacuations)
+};
+
+/// Result of an evacuation order.
+enum class order_result : std::uint8_t {
+  accepted, ///< a majority of the voters holds it
+  unknown,  ///< may or may not take effect: not the leader, or it lost its leadership
+  too_many  ///< refused: max_evacuations data centres are evacuated
+};
+
 struct document_log_hooks {
   peer::send_function send;
   std::function<void(consensus::write_batch)> persist;
   std::function<void(const consensus::snapshot&)> save_snapshot;
   /// A newer document has been committed. Called on every voter and once after a restart.
   std::function<void(const versioned_document&)> on_document;
+  /// A newer set of evacuations has been committed. Called as `on_document` is; may be empty.
+  std::function<void(const evacuation_set&)> on_evacuations;
   std::function<void()> on_role; ///< role, term or leader changed; may be empty
 };
 
-/// Replicated register of the document with the highest version.
+/// Replicated register of the document with the highest version, and of the evacuations.
 ///
 /// A document is accepted once a majority of the voters holds it, also when a higher version has
 /// been committed before it. Of two documents with the same version the earlier one in the log
@@ -54,6 +84,12 @@
   void propose(const versioned_document& document, std::function<void(bool)> done,
                base::time_point now);
 
+  /// Orders or withdraws an evacuation. An order that is in force already is accepted again, once
+  /// it is certain that this instance still leads. Orders take effect in the order in which they
+  /// reach the leader.
+  void order(const evacuation_order& order, std::function<void(order_result)> done,
+             base::time_point now);
+
   /// Linearizable read: calls `done` with the newest document, or null when this instance can't
   /// confirm that its document is the newest.
   void read(std::function<void(const versioned_document*)> done, base::time_point now);
@@ -65,6 +101,7 @@
   void tick(base::time_point now) { replica_.tick(now); }
 
   const versioned_document& current() const noexcept { return current_; }
+  const evacuation_set& evacuations() const noexcept { return evacuations_; }
   consensus::replica& log() noexcept { return replica_; }
   const consensus::replica& log() const noexcept { return replica_; }
 
@@ -74,14 +111,25 @@
     std::function<void(bool)> done;
   };
 
+  /// The last set that this instance proposed; later orders build on it until it is applied.
+  struct proposed_set {
+    std::uint64_t term = 0;
+    std::uint64_t index = 0;
+    evacuation_set set;
+  };
+
   consensus::replica_hooks replica_hooks_for(document_log_hooks& hooks);
   void on_entry(const consensus::entry& e);
   void on_role_change();
+  void take(register_content content);
+  void wait_for(std::uint64_t index, std::function<void(bool)> done);
 
   document_log_hooks hooks_;
   versioned_document current_;
-  std::map<std::uint64_t, waiting> pending_; ///< by log index
-  consensus::replica replica_;               ///< last member: its constructor calls the hooks
+  evacuation_set evacuations_;
+  proposed_set proposed_;
+  std::multimap<std::uint64_t, waiting> pending_; ///< by log index
+  consensus::replica replica_;                    ///< last member: its constructor calls the hooks
 };
 
 } // namespace kingcupshunt::fleet
--- a/include/kingcupshunt/fleet/entry_link.h
+++ b/include/kingcupshunt/fleet/entry_link.h
@@ -40,6 +40,8 @@
   std::function<bool()> is_cut_off; ///< from the backend servers; may be empty
   std::function<void(const server_record&)> on_server;
   std::function<void(const config::snapshot&)> on_document;
+  /// Other data centres are evacuated than before; may be empty.
+  std::function<void(const evacuation_set&)> on_evacuations;
   std::function<void()> on_controls; ///< the control instances or voters changed
   std::function<void(std::string_view event, std::string_view detail)> log; ///< may be empty
 };
@@ -64,6 +66,8 @@
   bool has_document() const noexcept { return version_ > 0; }
   std::uint64_t version() const noexcept { return version_; }
   const config::snapshot& configuration() const noexcept { return configuration_; }
+  /// Data centres whose servers get no requests, as last known here.
+  const evacuation_set& evacuations() const noexcept { return evacuations_; }
   const entry_lease& lease() const noexcept { return lease_; }
   std::set<std::string, std::less<>> controls() const;
   /// Entry instances that the control instances know, this one included.
@@ -94,7 +98,9 @@
   void query_all(base::time_point now);
   bool is_short_of_tunnels() const;
   void on_answer(std::string_view from, const entry_answer& answer, base::time_point now);
-  void on_content(const document_content& content);
+  void on_content(const document_content& content, base::time_point now);
+  void apply_evacuations(const evacuation_set& evacuations);
+  bool is_applied(std::uint64_t evacuations, bool knows_evacuations, base::time_point now);
   bool is_sound(const server_record& record);
   void apply_table(control& c, const table_part& part, base::time_point now);
   void fetch(std::string_view from, std::uint64_t version, base::time_point now);
@@ -106,6 +112,8 @@
   server_table table_;
   config::snapshot configuration_;
   std::uint64_t version_ = 0;
+  evacuation_set evacuations_;
+  base::time_point evacuations_known_at_{}; ///< last message of a sender that knows them
   entry_lease lease_;
   std::uint64_t sequence_ = 0;
   std::uint32_t entry_count_ = 1;
--- /dev/null
+++ b/include/kingcupshunt/fleet/evacuation.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <msgpack.hpp>
+
+namespace kingcupshunt::fleet {
+
+/// Greatest number of data centres that are evacuated at once. The whole set is in each log entry
+/// and in answers to entries, and is to stay below 8 KB there.
+inline constexpr std::size_t max_evacuations = 64;
+inline constexpr std::size_t max_data_centre_name = 120; ///< bytes
+
+/// The data centres whose servers get no requests, as ordered by operators.
+struct evacuation_set {
+  std::uint64_t number = 0;              ///< increases with each change; 0: no order was ever given
+  std::vector<std::string> data_centres; ///< sorted, each once
+
+  bool contains(std::string_view data_centre) const;
+  /// "a,b" for log lines; "none" when empty.
+  std::string describe() const;
+
+  bool operator==(const evacuation_set&) const = default;
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("n", number), MSGPACK_NVP("d", data_centres))
+};
+
+/// An operator's order that a data centre is evacuated, or the withdrawal of it.
+struct evacuation_order {
+  std::string data_centre;
+  bool is_start = true; ///< false: the evacuation ends
+};
+
+/// Why no data centre can have this name; empty when one can.
+std::string_view fault_of_data_centre(std::string_view name);
+
+/// The set after `order`, under the next number.
+evacuation_set after(evacuation_set set, const evacuation_order& order);
+
+} // namespace kingcupshunt::fleet
--- a/include/kingcupshunt/fleet/messages.h
+++ b/include/kingcupshunt/fleet/messages.h
@@ -7,6 +7,7 @@
 
 #include <msgpack.hpp>
 
+#include "kingcupshunt/fleet/evacuation.h"
 #include "kingcupshunt/fleet/server_record.h"
 
 namespace kingcupshunt::fleet {
@@ -30,16 +31,18 @@
   std::uint64_t table_start = 0;    ///< start of the control instance that `table_position` is of
   std::uint64_t table_position = 0; ///< of its server table, as applied by the sender
   std::uint64_t voters_index = 0;   ///< log index that set the voters known to the sender
-  std::string tunnel_address; ///< "ip:port" for entries that cannot reach servers; may be empty
-  bool is_cut_off = false;    ///< reaches servers only through other entries
-  bool needs_tunnels = false; ///< the answer should list entries that offer tunnels
+  std::string tunnel_address;    ///< "ip:port" for entries that cannot reach servers; may be empty
+  bool is_cut_off = false;       ///< reaches servers only through other entries
+  bool needs_tunnels = false;    ///< the answer should list entries that offer tunnels
+  std::uint64_t evacuations = 0; ///< number of the evacuations in effect at the sender
 
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("q", sequence), MSGPACK_NVP("e", entry_address),
                      MSGPACK_NVP("z", data_centre), MSGPACK_NVP("r", is_ready),
                      MSGPACK_NVP("l", is_leaving), MSGPACK_NVP("a", applied),
                      MSGPACK_NVP("ts", table_start), MSGPACK_NVP("tp", table_position),
                      MSGPACK_NVP("vi", voters_index), MSGPACK_NVP("ta", tunnel_address),
-                     MSGPACK_NVP("co", is_cut_off), MSGPACK_NVP("nt", needs_tunnels))
+                     MSGPACK_NVP("co", is_cut_off), MSGPACK_NVP("nt", needs_tunnels),
+                     MSGPACK_NVP("ev", evacuations))
 };
 
 /// Changes of one control instance's server table (in entry_answer, or alone as table_push).
@@ -66,18 +69,22 @@
   std::uint32_t entries = 1;        ///< entry instances that sent a query within the entry timeout
   std::vector<std::string> tunnels; ///< "ip:port" of entries that offer tunnels, when asked for
   table_part table;
+  bool knows_evacuations = false; ///< false: a build that ignores the orders in its log
+  evacuation_set evacuations; ///< after `applied`; only the number when the query names the same
 
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("q", sequence), MSGPACK_NVP("v", is_voter), MSGPACK_NVP("h", held),
                      MSGPACK_NVP("a", applied), MSGPACK_NVP("d", document),
                      MSGPACK_NVP("vs", voters), MSGPACK_NVP("z", data_centre),
                      MSGPACK_NVP("vi", voters_index), MSGPACK_NVP("n", entries),
-                     MSGPACK_NVP("tu", tunnels), MSGPACK_NVP("t", table))
+                     MSGPACK_NVP("tu", tunnels), MSGPACK_NVP("t", table),
+                     MSGPACK_NVP("ke", knows_evacuations), MSGPACK_NVP("ev", evacuations))
 };
 
-/// A control instance has applied a further document (commit_notice).
+/// A control instance has applied a further document or other evacuations (commit_notice).
 struct commit_notice {
   std::uint64_t document = 0;
-  MSGPACK_DEFINE_MAP(MSGPACK_NVP("d", document))
+  evacuation_set evacuations;
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("d", document), MSGPACK_NVP("ev", evacuations))
 };
 
 /// Requests the newest document (document_fetch).
@@ -90,10 +97,13 @@
 struct document_content {
   std::uint64_t applied = 0; ///< log index
   std::uint64_t version = 0;
-  std::uint64_t base = 0; ///< version that `text` is a delta to; 0: the whole document
-  std::string text;       ///< JSON of config::make_delta
+  std::uint64_t base = 0;         ///< version that `text` is a delta to; 0: the whole document
+  std::string text;               ///< JSON of config::make_delta
+  bool knows_evacuations = false; ///< as in entry_answer
+  std::uint64_t evacuations = 0;  ///< number of the evacuations after `applied`
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", applied), MSGPACK_NVP("v", version), MSGPACK_NVP("b", base),
-                     MSGPACK_NVP("t", text))
+                     MSGPACK_NVP("t", text), MSGPACK_NVP("ke", knows_evacuations),
+                     MSGPACK_NVP("ev", evacuations))
 };
 
 /// Announcements for the other control instances (record_share).
--- a/include/kingcupshunt/proxy/hooks.h
+++ b/include/kingcupshunt/proxy/hooks.h
@@ -95,6 +95,10 @@
   /// tried again: at once unless the connection ended without a whole answer. May be empty.
   std::function<void(const health::attempt&, std::function<void()> done)> settle_try;
 
+  /// Called right before a request is sent to the upstream that was picked, when the connection is
+  /// established. False: it must not be sent there, and another upstream is picked. May be empty.
+  std::function<bool(const std::string& upstream, bool is_open_route)> may_send;
+
   /// Plans a new connection to the upstream. May be empty: it is direct.
   std::function<connection_plan(const std::string& upstream)> plan_connection;
   /// Called after each attempt to establish a connection that was planned. May be empty.
--- a/src/balance/server_board.cpp
+++ b/src/balance/server_board.cpp
@@ -49,6 +49,7 @@
     std::erase(services_[s.record.service].servers, &s);
   }
   s.record = record;
+  s.is_evacuated = evacuations_.contains(record.data_centre);
   if (is_new) {
     s.was_used = false;
     delay_due(s, now);
@@ -78,7 +79,8 @@
 }
 
 bool server_board::is_usable(const server& s, base::time_point now) noexcept {
-  return s.record.state == fleet::server_state::ready && now < s.usable_until && !is_leaving(s);
+  return s.record.state == fleet::server_state::ready && now < s.usable_until && !is_leaving(s) &&
+         !s.is_evacuated;
 }
 
 std::uint32_t server_board::others_in_flight(const server& s, base::time_point now) noexcept {
@@ -280,6 +282,9 @@
   if (chosen == nullptr) {
     chosen = find_cheapest(of->second, request, tried, now, is_busy);
   }
+  if (chosen == nullptr && is_evacuated(request.service, now)) {
+    return board_error::all_evacuated;
+  }
   if (chosen == nullptr && tried.empty() && is_left(request.service, now)) {
     return board_error::unknown_service;
   }
@@ -450,7 +455,7 @@
   const auto it = servers_.find(id);
   const bool is_known = it != servers_.end() &&
                         it->second.record.state != fleet::server_state::gone &&
-                        !is_leaving(it->second);
+                        !is_leaving(it->second) && !it->second.is_evacuated;
   return is_known ? it->second.record.address : std::string();
 }
 
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -61,6 +61,7 @@
 }
 
 void control_core::apply_pending_document() {
+  announce_evacuations();
   if (!pending_document_) {
     return;
   }
@@ -80,7 +81,7 @@
   if (hooks_.on_content) {
     hooks_.on_content(documents_.back().content);
   }
-  const auto notice = peer::pack(commit_notice{document.version});
+  const auto notice = peer::pack(commit_notice{document.version, evacuations_});
   for (const auto& [id, e] : entries_) {
     hooks_.send(id, message_kind::commit_notice, notice);
   }
@@ -241,6 +242,11 @@
       answer.voters.push_back(v.id);
     }
   }
+  answer.knows_evacuations = true;
+  answer.evacuations.number = evacuations_.number;
+  if (query.evacuations != evacuations_.number) {
+    answer.evacuations = evacuations_;
+  }
   answer.entries = static_cast<std::uint32_t>(count_entries(now));
   if (query.needs_tunnels) {
     answer.tunnels = tunnels_for(from, now);
@@ -276,6 +282,8 @@
   document_content out;
   out.applied = log_->log().applied_index();
   out.version = newest.version;
+  out.knows_evacuations = true;
+  out.evacuations = evacuations_.number;
   out.base = fetch.held != 0 && base != documents_.end() ? fetch.held : 0;
   auto& text = newest_texts_[out.base];
   if (text.empty()) {
--- a/src/fleet/document_log.cpp
+++ b/src/fleet/document_log.cpp
@@ -16,18 +16,41 @@
   out.persist = hooks.persist;
   out.save_snapshot = hooks.save_snapshot;
   out.apply = [this](const consensus::entry& e) { on_entry(e); };
-  out.take_snapshot = [this] { return peer::pack(current_); };
+  out.take_snapshot = [this] {
+    return peer::pack(register_content{current_.version, current_.text, evacuations_});
+  };
   out.restore = [this](std::uint64_t, std::string_view data) {
-    auto restored = peer::unpack<versioned_document>(data);
-    if (restored && restored->version > current_.version) {
-      current_ = std::move(*restored);
-      hooks_.on_document(current_);
+    if (auto restored = peer::unpack<register_content>(data)) {
+      take(std::move(*restored));
     }
   };
   out.on_role = [this] { on_role_change(); };
   return out;
 }
 
+/// The higher number wins for the evacuations too: a snapshot of a build without them has none.
+void document_log::take(register_content content) {
+  if (content.version > current_.version) {
+    current_ = {content.version, std::move(content.text)};
+    hooks_.on_document(current_);
+  }
+  if (content.evacuations.number > evacuations_.number) {
+    evacuations_ = std::move(content.evacuations);
+    if (hooks_.on_evacuations) {
+      hooks_.on_evacuations(evacuations_);
+    }
+  }
+}
+
+void document_log::wait_for(std::uint64_t index, std::function<void(bool)> done) {
+  // A single voter commits within propose().
+  if (replica_.applied_index() >= index) {
+    done(true);
+    return;
+  }
+  pending_.emplace(index, waiting{replica_.term(), std::move(done)});
+}
+
 void document_log::propose(const versioned_document& document, std::function<void(bool)> done,
                            base::time_point now) {
   if (document.version <= current_.version) {
@@ -43,22 +66,49 @@
     done(false);
     return;
   }
-  // A single voter commits within propose().
-  if (replica_.applied_index() >= index.value()) {
-    done(true);
+  wait_for(index.value(), std::move(done));
+}
+
+void document_log::order(const evacuation_order& order, std::function<void(order_result)> done,
+                         base::time_point now) {
+  if (!replica_.is_ready()) {
+    done(order_result::unknown);
+    return;
+  }
+  auto finish = [done](bool is_accepted) {
+    done(is_accepted ? order_result::accepted : order_result::unknown);
+  };
+  const bool is_proposed =
+      proposed_.term == replica_.term() && proposed_.index > replica_.applied_index();
+  const auto& base = is_proposed ? proposed_.set : evacuations_;
+  if (base.contains(order.data_centre) == order.is_start) {
+    if (is_proposed) {
+      wait_for(proposed_.index, std::move(finish));
+    } else {
+      // A leader that was replaced without knowing it may have missed the opposite order.
+      replica_.read_index(std::move(finish), now);
+    }
+    return;
+  }
+  if (order.is_start && base.data_centres.size() >= max_evacuations) {
+    done(order_result::too_many);
     return;
   }
-  pending_[index.value()] = {replica_.term(), std::move(done)};
+  auto next = after(base, order);
+  const auto index = replica_.propose(peer::pack(evacuation_entry{next}), now);
+  if (!index) {
+    done(order_result::unknown);
+    return;
+  }
+  proposed_ = {replica_.term(), index.value(), std::move(next)};
+  wait_for(index.value(), std::move(finish));
 }
 
 void document_log::on_entry(const consensus::entry& e) {
-  auto document = peer::unpack<versioned_document>(e.payload);
-  if (document && document->version > current_.version) {
-    current_ = std::move(*document);
-    hooks_.on_document(current_);
+  if (auto content = peer::unpack<register_content>(e.payload)) {
+    take(std::move(*content));
   }
-  const auto it = pending_.find(e.index);
-  if (it != pending_.end()) {
+  for (auto it = pending_.find(e.index); it != pending_.end(); it = pending_.find(e.index)) {
     const auto waiter = std::move(it->second);
     pending_.erase(it);
     waiter.done(waiter.term == e.term);
--- a/src/fleet/entry_link.cpp
+++ b/src/fleet/entry_link.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr std::size_t max_pending_queries = 16; // the oldest unanswered one is dropped beyond this
+/// Below the lease, so that a return to a build without evacuations does not end the lease.
+constexpr base::seconds knowing_sender_retention{2};
 
 } // namespace
 
@@ -88,6 +90,7 @@
   query.is_leaving = hooks_.is_leaving();
   query.applied = lease_.applied();
   query.voters_index = lease_.voters_index();
+  query.evacuations = evacuations_.number;
   query.tunnel_address = settings_.tunnel_address;
   query.is_cut_off = hooks_.is_cut_off && hooks_.is_cut_off();
   query.needs_tunnels =
@@ -141,10 +144,13 @@
     });
     break;
   case message_kind::commit_notice:
-    is_ok = peer::handle<commit_notice>(body, [&](const auto& m) { fetch(from, m.document, now); });
+    is_ok = peer::handle<commit_notice>(body, [&](const auto& m) {
+      apply_evacuations(m.evacuations);
+      fetch(from, m.document, now);
+    });
     break;
   case message_kind::document_content:
-    is_ok = peer::handle<document_content>(body, [&](const auto& m) { on_content(m); });
+    is_ok = peer::handle<document_content>(body, [&](const auto& m) { on_content(m, now); });
     break;
   default:
     break;
@@ -173,7 +179,9 @@
   if (answer.is_voter) {
     lease_.note_answer(from, sent, answer.held);
   }
-  if (answer.document == version_) {
+  apply_evacuations(answer.evacuations);
+  const bool has_evacuations = is_applied(answer.evacuations.number, answer.knows_evacuations, now);
+  if (answer.document == version_ && has_evacuations) {
     lease_.set_applied(answer.applied);
   }
   entry_count_ = std::max<std::uint32_t>(answer.entries, 1);
@@ -190,6 +198,34 @@
   fetch(from, answer.document, now);
 }
 
+void entry_link::apply_evacuations(const evacuation_set& evacuations) {
+  if (evacuations.number <= evacuations_.number) {
+    return;
+  }
+  const auto before = std::exchange(evacuations_, evacuations);
+  if (hooks_.on_evacuations) {
+    hooks_.on_evacuations(evacuations_);
+  }
+  if (hooks_.log) {
+    hooks_.log("evacuations_changed", "number=" + std::to_string(evacuations_.number) +
+                                          " data_centres=" + evacuations_.describe() +
+                                          " before=" + before.describe());
+  }
+}
+
+/// Whether the evacuations up to the log index of a message are in effect here. A control instance
+/// of a build that ignores orders can't tell: its log index may be that of an order. Its messages
+/// count before the first order, and while no instance that knows orders is heard, since older
+/// fleets have no others.
+bool entry_link::is_applied(std::uint64_t evacuations, bool knows_evacuations,
+                            base::time_point now) {
+  if (knows_evacuations) {
+    evacuations_known_at_ = now;
+    return evacuations <= evacuations_.number;
+  }
+  return evacuations_.number == 0 || now - evacuations_known_at_ > knowing_sender_retention;
+}
+
 /// Logs few of the odd records, since each answer may repeat them.
 bool entry_link::is_sound(const server_record& record) {
   const auto fault = fault_of(record);
@@ -227,7 +263,7 @@
   hooks_.send(from, message_kind::document_fetch, peer::pack(document_fetch{version_}));
 }
 
-void entry_link::on_content(const document_content& content) {
+void entry_link::on_content(const document_content& content, base::time_point now) {
   fetch_until_ = {};
   if (content.version <= version_ || (content.base != 0 && content.base != version_)) {
     return;
@@ -245,7 +281,9 @@
   }
   configuration_ = std::move(next);
   version_ = content.version;
-  lease_.set_applied(content.applied);
+  if (is_applied(content.evacuations, content.knows_evacuations, now)) {
+    lease_.set_applied(content.applied);
+  }
   hooks_.on_document(configuration_);
   if (hooks_.log) {
     hooks_.log("document_in_force", "version=" + std::to_string(version_));
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -82,6 +82,14 @@
     on_message(from, kind, body);
   };
   out.on_tick = [this](base::time_point now) { on_tick(now); };
+  out.status = [this] {
+    const auto& log = documents->log();
+    return nlohmann::json{{"is_leader", log.is_leader()},
+                          {"leader", log.leader()},
+                          {"applied", log.applied_index()},
+                          {"version", documents->current().version},
+                          {"evacuations", status_of(documents->evacuations())}};
+  };
   out.on_stop = [this] { stop(); };
   out.on_reload = [this] {
     if (const auto s = hooks.reload ? hooks.reload() : std::nullopt) {
@@ -154,6 +162,10 @@
   out.persist = [this](consensus::write_batch batch) { disk->write(std::move(batch)); };
   out.save_snapshot = [this](const consensus::snapshot& s) { disk->save_snapshot(s); };
   out.on_document = [this](const fleet::versioned_document& d) { on_document(d); };
+  out.on_evacuations = [this](const fleet::evacuation_set& e) {
+    core->on_evacuations(e);
+    runtime.metrics.set("evacuations", static_cast<double>(e.data_centres.size()));
+  };
   out.on_role = [this] {
     const auto& log = documents->log();
     observe::log_info(
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -109,6 +109,12 @@
     link.tick(now);
     traffic.tick(now);
   };
+  out.status = [this] {
+    return nlohmann::json{{"is_ready", is_ready()},
+                          {"is_fresh", link.is_fresh()},
+                          {"version", link.version()},
+                          {"evacuations", status_of(link.evacuations())}};
+  };
   out.on_stop = [this] { begin_stop(); };
   out.on_reload = [this] {
     if (const auto s = hooks.reload ? hooks.reload() : std::nullopt) {
@@ -144,6 +150,7 @@
       entry->set_caller_limits(limits->head_bytes, limits->head_timeout, limits->idle_timeout);
     }
   };
+  out.on_evacuations = [this](const fleet::evacuation_set& e) { traffic.set_evacuations(e); };
   out.on_controls = [this] { traffic.update_controls(); };
   out.log = [this](std::string_view event, std::string_view detail) {
     runtime.metrics.count("entry_events_total", event);
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -104,6 +104,9 @@
                     const std::vector<std::string>& tried) {
     return pick(request, fingerprint, tried);
   };
+  out.may_send = [this](const std::string& server, bool is_open_route) {
+    return may_send(server, is_open_route);
+  };
   out.plan_connection = [this](const std::string&) { return plan_connection(); };
   out.note_connection = [this](const proxy::connection_outcome& o) { note_connection(o); };
   out.report = [this](const proxy::authorized_request& request, const health::attempt& a) {
@@ -249,7 +252,7 @@
   admission::gate_capacity out;
   out.free_slots = board_.free_slots(service, now);
   out.starts_per_second = board_.starts_per_second(service, now) / link_.entry_count();
-  if (board_.is_left(service, now)) {
+  if (board_.is_left(service, now) || board_.is_evacuated(service, now)) {
     out.free_slots = std::numeric_limits<std::uint32_t>::max(); // `pick` refuses them at once
   }
   return out;
@@ -328,6 +331,8 @@
     switch (chosen.error()) {
     case balance::board_error::unknown_service:
       return not_run(503, "no_server", "no server of the service is known", lease_retry_after);
+    case balance::board_error::all_evacuated:
+      return refusal_of_evacuation();
     case balance::board_error::all_tried:
       return not_run(503, "no_other_server", "the request has been tried on every server");
     case balance::board_error::all_busy:
--- a/src/node/entry_traffic.h
+++ b/src/node/entry_traffic.h
@@ -35,6 +35,7 @@
 
   void on_server(const fleet::server_record& record);
   void update_controls();
+  void set_evacuations(const fleet::evacuation_set& evacuations); // entry_evacuations.cpp
   void receive(std::string_view from, peer::message_kind kind, std::string_view body,
                base::time_point now);
   void tick(base::time_point now);
@@ -76,6 +77,8 @@
   void record_refusal(const proxy::request_head& head, const proxy::refusal& r,
                       const std::vector<std::string>& tried);
   bool may_log(base::time_point now);
+  bool may_send(const std::string& server, bool is_open_route) const; // entry_evacuations.cpp
+  static proxy::refusal refusal_of_evacuation();
   void log_leaving(const balance::leaving_notice& notice); // entry_leaving.cpp
 
   role_runtime& runtime_;
@@ -107,6 +110,7 @@
   std::string relay_;
   bool is_relay_local_ = false; ///< the relay has the load of this data centre only
   base::time_point full_report_at_{};
+  fleet::evacuation_set evacuations_;
   std::uint64_t serial_ = 0;
   double log_tokens_ = 0;
   base::time_point log_tokens_at_{};
--- a/src/node/role_runtime.cpp
+++ b/src/node/role_runtime.cpp
@@ -16,6 +16,7 @@
 constexpr base::seconds reload_interval{1};     // settings can change without SIGHUP
 /// Share of the process's memory for incomplete frames of other instances.
 constexpr std::size_t frame_memory_divisor = 8;
+constexpr const char* status_path = "/status";
 
 std::uint64_t random_number() {
   return base::hash64(base::random_bytes(sizeof(std::uint64_t))) | 1U;
@@ -39,6 +40,10 @@
 
 } // namespace
 
+nlohmann::json status_of(const fleet::evacuation_set& evacuations) {
+  return {{"number", evacuations.number}, {"data_centres", evacuations.data_centres}};
+}
+
 role_runtime::role_runtime(settings::role_settings s, role_hooks hooks)
     : settings(std::move(s)), seed(random_number()), hooks_(std::move(hooks)) {}
 
@@ -52,14 +57,25 @@
   if (settings.metrics.port != 0) {
     metrics_server_ = std::make_unique<control::http_server>(
         io, control::http_server_settings{settings.metrics.address, settings.metrics.port},
-        [this](const control::http_request&,
+        [this](const control::http_request& request,
                const std::function<void(control::http_response)>& done) {
-          done({200, "text/plain; version=0.0.4", metrics.serialize(), {}});
+          done(operator_page(request));
         });
   }
   return base::success();
 }
 
+/// The status, and the metrics under any other path.
+control::http_response role_runtime::operator_page(const control::http_request& request) {
+  if (request.path != status_path || !hooks_.status) {
+    return {200, "text/plain; version=0.0.4", metrics.serialize(), {}};
+  }
+  auto page = hooks_.status();
+  page["id"] = settings.id;
+  page["data_centre"] = settings.data_centre;
+  return {200, "application/json", page.dump(), {}};
+}
+
 void role_runtime::send(std::string_view to, peer::message_kind kind, std::string body) {
   metrics.count("peer_messages_total");
   metrics.count("peer_bytes_total", {}, static_cast<double>(body.size()));
--- a/src/node/role_runtime.h
+++ b/src/node/role_runtime.h
@@ -9,8 +9,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
 
 #include "kingcupshunt/control/http_server.h"
+#include "kingcupshunt/fleet/evacuation.h"
 #include "kingcupshunt/observe/metrics.h"
 #include "kingcupshunt/peer/transport.h"
 #include "kingcupshunt/settings/role_settings.h"
@@ -21,10 +23,15 @@
   std::function<void(std::string_view from, peer::message_kind kind, const std::string& body)>
       on_message;
   std::function<void(base::time_point now)> on_tick;
+  /// What `kingcupshunt status` shows; may be empty. The page also names the instance.
+  std::function<nlohmann::json()> status;
   std::function<void()> on_stop;   ///< SIGTERM or SIGINT, once
   std::function<void()> on_reload; ///< SIGHUP or periodically: the settings may have changed
 };
 
+/// The evacuations in force, for the status page.
+nlohmann::json status_of(const fleet::evacuation_set& evacuations);
+
 /// Event loop, connections to other instances, timer, signals and metrics page of a process with
 /// one role, control or entry.
 class role_runtime {
@@ -50,6 +57,7 @@
 
 private:
   void schedule_tick();
+  control::http_response operator_page(const control::http_request& request);
   void wait_for_signal();
 
   role_hooks hooks_;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -136,6 +136,14 @@
   }
   was_reused_ = connection_->was_reused;
   bool is_ok = co_await connect();
+  const auto& may_send = context_.hook.may_send;
+  if (is_ok && may_send && !may_send(target_.id, request_->is_open_route)) {
+    was_withheld_ = true;
+    context_.metrics.count("requests_withheld_total");
+    end_ = attempt_end::cancelled;
+    release(false);
+    co_return;
+  }
   if (is_ok) {
     is_ok = co_await send();
   }
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -15,13 +15,14 @@
 
 /// A request as it is sent to an upstream, shared by all its tries.
 struct upstream_request {
-  std::string head;          ///< without the deadline field and the blank line
-  std::string body;          ///< whole body, when it is not streamed
-  bool is_streamed = false;  ///< the body is written with exchange::write_body
-  bool is_head = false;      ///< HEAD: the answer has no body
-  bool is_resendable = true; ///< may be sent again after bytes of it were sent
-  bool must_store = false;   ///< the answer is collected with any framing
-  std::string request_id;    ///< echoed by the answer, if configured
+  std::string head;           ///< without the deadline field and the blank line
+  std::string body;           ///< whole body, when it is not streamed
+  bool is_streamed = false;   ///< the body is written with exchange::write_body
+  bool is_head = false;       ///< HEAD: the answer has no body
+  bool is_resendable = true;  ///< may be sent again after bytes of it were sent
+  bool is_open_route = false; ///< the route is open to all callers
+  bool must_store = false;    ///< the answer is collected with any framing
+  std::string request_id;     ///< echoed by the answer, if configured
   base::time_point deadline;
 };
 
@@ -47,6 +48,8 @@
   bool was_sent() const noexcept { return was_sent_; }
   /// True when the pool had no connection; nothing was sent.
   bool had_no_connection() const noexcept { return had_no_connection_; }
+  /// True when the request was not sent because the upstream gets no requests any more.
+  bool was_withheld() const noexcept { return was_withheld_; }
   /// True when the try ended with an answer's head, false after a failure.
   bool has_answer() const noexcept { return is_finished_ && has_answer_; }
   /// True when the answer's whole body is in collected_body().
@@ -139,6 +142,7 @@
   bool was_sent_ = false;
   bool was_reused_ = false;
   bool had_no_connection_ = false;
+  bool was_withheld_ = false;
   bool has_answer_ = false;
   bool is_whole_ = false;
   bool is_reported_ = false;
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -366,6 +366,7 @@
   upstream_request_->is_streamed = is_streamed_;
   upstream_request_->is_head = is_head_method_;
   upstream_request_->is_resendable = auth_.route->is_repeatable() && !is_streamed_;
+  upstream_request_->is_open_route = auth_.route->is_open;
   upstream_request_->must_store = is_reserving();
   upstream_request_->request_id = head_.request_id;
   upstream_request_->deadline = auth_.deadline;
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -348,6 +348,16 @@
       start_try();
     }
     return nullptr;
+  } else if (ended->was_withheld()) {
+    failure_.reset(); // why no other server is picked, if so, says more
+    if (active_tries_.empty()) {
+      start_try();
+    }
+    if (!failure_) {
+      failure_ = failed(503, "withheld", "the chosen backend server gets no requests any more",
+                        may_have_run_);
+    }
+    return nullptr;
   } else {
     failure_ = refusal_of(ended->end(), may_have_run_);
   }
