--- a/src/fleet/document_log.cpp
+++ b/src/fleet/document_log.cpp
@@ -75,13 +75,18 @@
     done(order_result::unknown);
     return;
   }
-  auto finish = [done](bool is_accepted) {
-    done(is_accepted ? order_result::accepted : order_result::unknown);
-  };
   const bool is_proposed =
       proposed_.term == replica_.term() && proposed_.index > replica_.applied_index();
   const auto& base = is_proposed ? proposed_.set : evacuations_;
-  if (base.contains(order.data_centre) == order.is_start) {
+  const bool is_in_force = base.contains(order.data_centre) == order.is_start;
+  if (!is_in_force && order.is_start && base.data_centres.size() >= max_evacuations) {
+    done(order_result::too_many);
+    return;
+  }
+  auto finish = [done = std::move(done)](bool is_accepted) {
+    done(is_accepted ? order_result::accepted : order_result::unknown);
+  };
+  if (is_in_force) {
     if (is_proposed) {
       wait_for(proposed_.index, std::move(finish));
     } else {
@@ -90,14 +95,10 @@
     }
     return;
   }
-  if (order.is_start && base.data_centres.size() >= max_evacuations) {
-    done(order_result::too_many);
-    return;
-  }
   auto next = after(base, order);
   const auto index = replica_.propose(peer::pack(evacuation_entry{next}), now);
   if (!index) {
-    done(order_result::unknown);
+    finish(false);
     return;
   }
   proposed_ = {replica_.term(), index.value(), std::move(next)};
