Limit the requests to cold servers by permits of the relay

Cause: a server that has just started, or becomes cold again, crashes well above the rate that its service states, and no instance knew that rate: a cold server that tolerates 15.05 requests in a second got 18. Changes of `cold_left_ms` did not reach the entries.

The server table counts the cold time down and sends on a later end. Answers say how long their server remains cold (`wire_names::server_cold`). `fleet::cold_relay` issues the permits for cold servers at their rate to the entries that have requests for the service, while it has contact with a majority of the control instances; `balance::server_board` sends such servers nothing without one. A permit lives 0.7 s from its issue, told by a stamp that the relay returns, so that late messages add nothing: permits issued within 2.3 s can be used in one second, 4.7 x 2.3 + 4 = 14.8 of 15.05.

--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "kingcupshunt/balance/cold_state.h"
 #include "kingcupshunt/balance/episode_estimator.h"
 #include "kingcupshunt/balance/server_pause.h"
 #include "kingcupshunt/base/result.h"
@@ -17,6 +18,7 @@
 #include "kingcupshunt/fleet/messages.h"
 #include "kingcupshunt/fleet/server_record.h"
 #include "kingcupshunt/health/attempt.h"
+#include "kingcupshunt/rates/cold_bound.h"
 #include "kingcupshunt/rates/request_permits.h"
 
 namespace kingcupshunt::balance {
@@ -94,7 +96,8 @@
   base::duration report_lifetime = base::milliseconds(2500);
   /// Random part of the end of a server's pause, so that not all instances return at once.
   base::duration pause_spread = base::milliseconds(100);
-  double latency_gain = 0.2; ///< weight of a new answer in the mean response time of a server
+  double latency_gain = 0.2;    ///< weight of a new answer in the mean response time of a server
+  rates::cold_bound cold_bound; ///< requests to a cold server, of all instances
 };
 
 /// Why no server was chosen.
@@ -147,6 +150,7 @@
   std::function<void(const limit_change&)> on_limit;     ///< may be empty
   std::function<void(const leaving_notice&)> on_leaving; ///< may be empty
   std::function<void(const pause_change&)> on_pause;     ///< may be empty
+  std::function<void(const cold_change&)> on_cold;       ///< may be empty
 };
 
 /// State of a server, for the status page.
@@ -217,11 +221,33 @@
   /// Changes since the last call, to be sent to other instances.
   fleet::load_report take_report();
   /// Whether there are changes that other instances should know at once.
-  bool has_news() const noexcept { return !failures_.empty() || !limits_.empty(); }
+  bool has_news() const noexcept {
+    return !failures_.empty() || !limits_.empty() || has_cold_news_;
+  }
   /// All requests in flight, for a relay that has no report of this instance yet. Marks them as
   /// reported.
   fleet::load_report full_report();
 
+  // Cold servers, server_board_cold.cpp. A server of a service that is not in the terms is treated
+  // as if it were not cold.
+
+  /// Sets the terms of all services that state a rate for cold servers, by service.
+  void set_cold_terms(std::map<std::string, cold_terms, std::less<>> terms, base::time_point now);
+  /// A caller's request is for this service, whether or not a server is free.
+  void note_request(std::string_view service, base::time_point now);
+  /// Whether there is a relay to report to, and the number of entry instances known. Without a
+  /// relay, a cold server gets no more than a fixed share of this instance.
+  void set_relay(bool has_relay, std::uint32_t entries, base::time_point now);
+  /// Adds the cold servers, and the stamp by which this instance tells the age of permits.
+  void add_cold_report(fleet::load_report& report, base::time_point now);
+  /// Servers that other instances have found to be cold.
+  void apply_cold(std::span<const fleet::cold_note> notes, base::time_point now);
+  /// Adds the permits for cold servers. Returns the number that came too late.
+  std::uint32_t add_cold_permits(const fleet::permit_grant& grant, base::time_point now);
+  /// Whether requests to the server need a permit because it is cold.
+  bool is_cold(std::string_view server, base::time_point now) const;
+  std::size_t cold_servers(base::time_point now) const;
+
   /// The requests in flight are not evidence against their servers: this instance has lost its
   /// path to them.
   void excuse_running();
@@ -266,6 +292,7 @@
     /// `started_ms` of the incarnation whose answers said that it leaves.
     std::optional<std::uint64_t> left_incarnation;
     server_pause pause;
+    cold_state cold;
   };
   /// Exponentially decayed counts of requests.
   struct request_count {
@@ -278,6 +305,7 @@
     std::vector<server*> servers; ///< nodes of `servers_`, whose addresses are stable
     double mean_seconds = 0;
     request_count count;
+    base::time_point wanted_at{}; ///< last request of a caller
   };
 
   static void decay(episode_record& r, base::duration time_constant, base::time_point now);
@@ -296,6 +324,17 @@
   void note_limit(server& s, const health::attempt& a);
   void note_pause(server& s, const running& run, const health::attempt& a, base::time_point now);
   static std::uint32_t unpaused_starts(const server& s, base::time_point now) noexcept;
+  const cold_terms* cold_terms_of(const server& s) const;
+  void update_cold(server& s, base::time_point now);
+  void extend_cold(server& s, base::duration left, bool is_first_hand, base::time_point now);
+  void note_cold_answer(server& s, const running& run, const health::attempt& a,
+                        base::time_point now);
+  static bool is_cold_limited(const server& s, base::time_point now) noexcept;
+  std::uint32_t cold_starts(const server& s, base::time_point now) const;
+  static void take_cold(server& s, base::time_point now);
+  server* find_permitted_cold(const service_state& of, const board_request& request,
+                              base::time_point now);
+  static std::uint64_t stamp_of(base::time_point at) noexcept;
   double likelihood_ratio_of(fleet::failure_kind kind) const noexcept;
   bool is_likely_faulty(const server& s, base::time_point now) const;
   struct slot_counts {
@@ -317,8 +356,14 @@
   base::rng rng_;
   std::map<std::string, server, std::less<>> servers_;
   std::map<std::string, service_state, std::less<>> services_;
-  std::vector<fleet::failure_note> failures_; ///< not yet reported
-  std::vector<fleet::limit_note> limits_;     ///< not yet reported
+  std::vector<fleet::failure_note> failures_;                 ///< not yet reported
+  std::vector<fleet::limit_note> limits_;                     ///< not yet reported
+  std::map<std::string, cold_terms, std::less<>> cold_terms_; ///< by service
+  bool has_cold_news_ = false;
+  bool had_relay_ = false;
+  std::optional<base::time_point> relay_lost_at_;
+  std::uint32_t most_entries_ = 1; ///< greatest number of entries known so far
+  std::uint64_t first_stamp_ = 0;  ///< of this process's reports
   double instances_ = 1;
   bool is_relay_local_ = false; ///< the load of other data centres is then unknown
 };
--- a/include/kingcupshunt/config/entities.h
+++ b/include/kingcupshunt/config/entities.h
@@ -25,6 +25,10 @@
   return kind == request_kind::repeatable || kind == request_kind::download;
 }
 
+/// Bounds of a service's terms for cold servers.
+inline constexpr std::uint64_t max_warmup_ms = 600'000;
+inline constexpr double max_cold_rate = 1e6; ///< requests per second
+
 struct service {
   std::string name;
   double floor = 0.5; ///< share of the announced capacity that ejection never goes below, 0 to 1
@@ -33,6 +37,10 @@
   base::milliseconds timeout{5000};    ///< whole time of a request unless its route states one
   std::string health_path = "/healthz";
   std::uint32_t max_connections = 330; ///< per upstream, over all instances
+  /// Usual time for which a server is cold after it starts; 0: not stated.
+  base::milliseconds warmup{0};
+  /// Requests per second that a cold server tolerates from all instances together; 0: no limit.
+  double cold_rate = 0;
 };
 
 /// One part of a route that is divided between services.
--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -14,6 +14,7 @@
 #include <nlohmann/json.hpp>
 
 #include "kingcupshunt/base/time.h"
+#include "kingcupshunt/fleet/cold_relay.h"
 #include "kingcupshunt/fleet/document_log.h"
 #include "kingcupshunt/fleet/messages.h"
 #include "kingcupshunt/fleet/server_table.h"
@@ -34,6 +35,7 @@
       base::milliseconds(2500);                         ///< majority contact expires after this
   base::duration voter_timeout_even = base::seconds(6); ///< removal, even number of voters
   base::duration voter_timeout_odd = base::seconds(30); ///< removal, odd number of voters
+  rates::cold_bound cold_bound;                         ///< requests to a server that is cold
 };
 
 struct control_hooks {
@@ -154,9 +156,11 @@
   void push_changes();
   void on_failure_share(const load_report& report, base::time_point now);
   bool set_limit(const limit_note& note, base::time_point now);
-  void send_limits(std::string_view to);
+  void send_limits(std::string_view to, base::time_point now);
   void issue_permits(base::time_point now);
-  void flush_loads();
+  void issue_cold_permits(base::time_point now); // control_cold.cpp
+  static nlohmann::json without_cold_terms(nlohmann::json content);
+  void flush_loads(base::time_point now);
   void share_failures(base::time_point now);
   void remove_load(std::string_view id);
   void check_shares(base::time_point now);
@@ -181,11 +185,15 @@
   /// Encoded texts of the newest document by the base version of the delta, 0: whole document.
   /// Cached because all entries fetch the same ones at once.
   std::map<std::uint64_t, std::string> newest_texts_;
+  std::map<std::uint64_t, std::string> newest_plain_texts_; ///< the same without cold terms
   std::optional<versioned_document> pending_document_;
   std::map<std::uint64_t, pending_share> shares_;
   std::uint64_t next_call_ = 0;
   std::map<std::string, base::time_point, std::less<>> join_requests_;
   relayed_load loads_;
+  cold_relay cold_{settings_.cold_bound};
+  std::size_t cold_logged_ = 0; ///< cold servers in the last log line
+  base::time_point cold_log_at_{};
   base::time_point majority_contact_at_{};
   base::time_point join_at_{};
   std::size_t asked_to_join_ = 0; ///< control instances asked since a leader was last heard
--- a/include/kingcupshunt/fleet/messages.h
+++ b/include/kingcupshunt/fleet/messages.h
@@ -83,7 +83,10 @@
 /// Requests the newest document (document_fetch).
 struct document_fetch {
   std::uint64_t held = 0; ///< version that the requesting instance holds, 0: none
-  MSGPACK_DEFINE_MAP(MSGPACK_NVP("h", held))
+  /// The requesting instance reads the cold terms of services; earlier builds refuse a document
+  /// that has them.
+  bool reads_cold_terms = false;
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("h", held), MSGPACK_NVP("c", reads_cold_terms))
 };
 
 /// A document, or the changes since the version named in the request (document_content).
@@ -169,6 +172,18 @@
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("m", limits))
 };
 
+/// A server that is cold, whose service states a rate for cold servers.
+struct cold_note {
+  std::string server;
+  std::uint32_t left_ms = 0; ///< 0: the sender has this from its relay and does not repeat it
+  double per_second = 0;     ///< the service's rate for cold servers, from all instances together
+  std::string data_centre;   ///< of the server
+  bool is_wanted = false;    ///< the sender has had requests for the service lately
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("s", server), MSGPACK_NVP("l", left_ms),
+                     MSGPACK_NVP("p", per_second), MSGPACK_NVP("z", data_centre),
+                     MSGPACK_NVP("w", is_wanted))
+};
+
 /// Load, failures and limits, in one of three messages: changed in-flight counts, new failures and
 /// changed limits of an entry instance since its last report (load_pulse); the sums over all entry
 /// instances of a relay, sent by the relay to each of them (load_total); or the failures and limits
@@ -178,8 +193,10 @@
   std::vector<server_load> loads;
   std::vector<failure_note> failures;
   std::vector<limit_note> limits;
+  std::vector<cold_note> cold{};
+  std::uint64_t stamp = 0; ///< of an entry: its clock when it sent this; returned in permit_grant
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", is_full), MSGPACK_NVP("l", loads), MSGPACK_NVP("f", failures),
-                     MSGPACK_NVP("m", limits))
+                     MSGPACK_NVP("m", limits), MSGPACK_NVP("c", cold), MSGPACK_NVP("t", stamp))
 };
 
 struct server_permits {
@@ -192,7 +209,11 @@
 /// (permit_grant).
 struct permit_grant {
   std::vector<server_permits> permits;
-  MSGPACK_DEFINE_MAP(MSGPACK_NVP("p", permits))
+  std::vector<server_permits> cold{}; ///< for cold servers; the lifetime counts from their issue
+  std::uint64_t stamp = 0;            ///< of the receiver's last report
+  std::uint32_t age_ms = 0; ///< time from the receipt of that report to the issue of `cold`
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("p", permits), MSGPACK_NVP("c", cold), MSGPACK_NVP("t", stamp),
+                     MSGPACK_NVP("g", age_ms))
 };
 
 } // namespace kingcupshunt::fleet
--- a/include/kingcupshunt/fleet/server_table.h
+++ b/include/kingcupshunt/fleet/server_table.h
@@ -24,6 +24,9 @@
 /// The later incarnation of an id wins, then the higher sequence. Within an incarnation the state
 /// never goes back from gone to draining or from draining to ready. An address belongs to the
 /// incarnation that started last; the previous holder of the address becomes gone.
+///
+/// A record states how long its server remains cold. The table counts that down, so that a record
+/// that is sent on late states what is left.
 class server_table {
 public:
   merge_result merge(server_record record, base::time_point now);
@@ -45,8 +48,11 @@
 
   /// Increases with each change; position 0 is the empty table.
   std::uint64_t position() const noexcept { return position_; }
-  /// Records changed after `position`, oldest change first.
+  /// Records changed after `position`, oldest change first. Their `cold_left_ms` is that of the
+  /// last change.
   std::vector<server_record> changed_since(std::uint64_t position) const;
+  /// The same, with the time left at `now`.
+  std::vector<server_record> changed_since(std::uint64_t position, base::time_point now) const;
 
 private:
   struct entry {
@@ -54,11 +60,14 @@
     std::uint64_t position = 0;
     base::time_point received_at{};
     base::time_point changed_at{};
+    base::time_point cold_until{}; ///< as the last change stated it
   };
 
   bool is_superseded(const server_record& record) const;
   void supersede_address(const server_record& record, base::time_point now);
   void touch(entry& e, base::time_point now);
+  static std::uint32_t cold_left_ms(const entry& e, base::time_point now);
+  static bool note_cold(entry& e, const server_record& record, bool is_new, base::time_point now);
 
   std::map<std::string, entry, std::less<>> entries_;
   std::map<std::string, std::string, std::less<>>
--- a/include/kingcupshunt/health/attempt.h
+++ b/include/kingcupshunt/health/attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "kingcupshunt/base/time.h"
@@ -50,6 +51,9 @@
   bool is_leaving = false; ///< an answer to it said that its server leaves
   /// Time for which the server wants no request, from its 503 with Retry-After. Zero: none.
   base::duration pause{};
+  /// Time for which the server remains cold, counted from the end of the attempt; zero: it is not
+  /// cold. Empty: the answer does not say.
+  std::optional<base::duration> cold_left;
 };
 
 } // namespace kingcupshunt::health
--- a/include/kingcupshunt/proxy/head_checks.h
+++ b/include/kingcupshunt/proxy/head_checks.h
@@ -60,6 +60,13 @@
 /// most `max_server_pause`. Empty for a date and for other values.
 std::optional<base::duration> server_pause_of(std::string_view value) noexcept;
 
+/// Longest time for which a server's answer may call it cold.
+inline constexpr base::seconds max_cold_left{600};
+
+/// Returns the time for which a server says that it remains cold, a decimal number of milliseconds;
+/// at most `max_cold_left`. Empty when the value is not one.
+std::optional<base::duration> cold_left_of(std::string_view value) noexcept;
+
 /// Makes a refusal with status 400 for an invalid request, which has not run.
 refusal bad_request(std::string reason, std::string message);
 
--- a/include/kingcupshunt/proxy/wire_names.h
+++ b/include/kingcupshunt/proxy/wire_names.h
@@ -20,6 +20,8 @@
   std::string server_limit = "X-Kingcupshunt-Server-Limit";
   /// From the upstream: "1" in all answers of one that leaves, which gets no further requests.
   std::string server_leaving = "X-Kingcupshunt-Server-Leaving";
+  /// From the upstream: milliseconds for which it remains cold, 0 when it is not.
+  std::string server_cold = "X-Kingcupshunt-Server-Cold-Ms";
 
   /// The caller's request id is forwarded unchanged, and answers must echo it.
   bool is_request_id_echoed = false;
--- a/include/kingcupshunt/rates/request_permits.h
+++ b/include/kingcupshunt/rates/request_permits.h
@@ -23,6 +23,8 @@
   const std::optional<double>& limit() const noexcept { return limit_; }
 
   void add(std::uint32_t n, base::time_point now);
+  /// Adds permits that end at `expires`.
+  void add_until(std::uint32_t n, base::time_point expires, base::time_point now);
   /// Permits that have not expired; without a limit the greatest number.
   std::uint32_t available(base::time_point now) const noexcept;
   bool may_send(base::time_point now) const noexcept { return available(now) > 0; }
--- a/include/kingcupshunt/settings/role_settings.h
+++ b/include/kingcupshunt/settings/role_settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "kingcupshunt/base/time.h"
+#include "kingcupshunt/rates/cold_bound.h"
 
 namespace kingcupshunt::settings {
 
@@ -26,6 +27,7 @@
   double retry_share = 0.2; ///< further tries for each request, of all entries in a window
   base::duration retry_window = base::seconds(10);
   double retry_slack = 0; ///< further tries beyond the share, of all entries in a window
+  rates::cold_bound cold; ///< requests to a server that is cold, from all entries in a second
 };
 
 /// Settings of one process that plays a single role: entry or control.
--- a/src/balance/server_board.cpp
+++ b/src/balance/server_board.cpp
@@ -66,6 +66,7 @@
     s.mean_seconds = 0;
     s.cold_until = now + base::milliseconds(record.cold_left_ms);
   }
+  extend_cold(s, base::milliseconds(is_gone ? 0 : record.cold_left_ms), true, now);
   auto& all = services_[record.service].servers;
   if (is_gone) {
     std::erase(all, &s);
@@ -209,13 +210,14 @@
     }
     // A server that limits its rate is idle most of the time because of the limit, not because the
     // instances avoid it.
-    const bool is_limited = s.permits.limit().has_value();
+    const bool is_limited = s.permits.limit().has_value() || is_cold_limited(s, now);
     usable += is_limited ? 0 : 1;
     if (in_flight(s, now) > 0 || now < s.due_at + extra) {
       continue;
     }
     idle += is_limited ? 0 : 1;
-    if (s.record.is_silent || !s.permits.may_send(now) || unpaused_starts(s, now) == 0) {
+    if (s.record.is_silent || !s.permits.may_send(now) || unpaused_starts(s, now) == 0 ||
+        cold_starts(s, now) == 0) {
       continue; // it has probably stopped, or accepts no request of this instance now
     }
     const double c = cost(s, of, request.is_repeatable, now);
@@ -255,7 +257,7 @@
       continue;
     }
     if (in_flight(*s, now) >= s->record.slots + settings_.queued_per_server ||
-        !s->permits.may_send(now) || unpaused_starts(*s, now) == 0) {
+        !s->permits.may_send(now) || unpaused_starts(*s, now) == 0 || cold_starts(*s, now) == 0) {
       is_busy = true;
       continue;
     }
@@ -276,7 +278,10 @@
     return board_error::unknown_service;
   }
   bool is_busy = false;
-  auto* chosen = tried.empty() ? find_due(of->second, request, now) : nullptr;
+  auto* chosen = tried.empty() ? find_permitted_cold(of->second, request, now) : nullptr;
+  if (chosen == nullptr && tried.empty()) {
+    chosen = find_due(of->second, request, now);
+  }
   if (chosen == nullptr) {
     chosen = find_cheapest(of->second, request, tried, now, is_busy);
   }
@@ -292,6 +297,7 @@
   chosen->own_requests[request.serial] = {now, request.is_repeatable, false, false,
                                           chosen->record.started_ms};
   chosen->permits.take(now);
+  take_cold(*chosen, now);
   note_use(*chosen, now);
   return chosen->record;
 }
@@ -332,6 +338,7 @@
       run != s.own_requests.end() && run->second.started_ms != s.record.started_ms;
   if (run != s.own_requests.end()) {
     note_pause(s, run->second, a, now);
+    note_cold_answer(s, run->second, a, now);
     s.own_requests.erase(run);
   }
   if (s.record.state == fleet::server_state::gone) {
@@ -408,10 +415,12 @@
     const auto busy = in_flight(*s, now);
     r.slots += s->record.slots;
     const auto free = busy < s->record.slots ? s->record.slots - busy : 0;
-    r.free += std::min({free, s->permits.available(now), unpaused_starts(*s, now)});
+    r.free +=
+        std::min({free, s->permits.available(now), unpaused_starts(*s, now), cold_starts(*s, now)});
     if (of->second.mean_seconds > 0) {
       const double rate = s->record.slots / of->second.mean_seconds;
-      r.starts_per_second += std::min(rate, s->permits.limit().value_or(rate));
+      const double cold_rate = is_cold_limited(*s, now) ? *s->cold.permits.limit() : rate;
+      r.starts_per_second += std::min({rate, s->permits.limit().value_or(rate), cold_rate});
     }
   }
   if (healthy.slots < settings_.min_healthy_share * (healthy.slots + likely_faulty.slots)) {
@@ -464,6 +473,7 @@
 
 void server_board::tick(base::time_point now) {
   for (auto& [id, s] : servers_) {
+    update_cold(s, now);
     const auto of = services_.find(s.record.service);
     if (s.own_requests.empty() || of == services_.end() || of->second.mean_seconds == 0) {
       continue;
--- a/src/balance/server_board_reports.cpp
+++ b/src/balance/server_board_reports.cpp
@@ -52,6 +52,7 @@
       }
     }
   }
+  apply_cold(total.cold, now);
   for (const auto& note : total.failures) {
     const auto it = servers_.find(note.server);
     if (it != servers_.end()) {
--- a/src/config/entity_reader.cpp
+++ b/src/config/entity_reader.cpp
@@ -100,6 +100,8 @@
   reader.read_ms("timeout_ms", out.timeout, 1, max_timeout_ms);
   reader.read("health_path", out.health_path);
   reader.read("max_connections", out.max_connections, 1, 100'000);
+  reader.read_ms("warmup_ms", out.warmup, 0, static_cast<std::int64_t>(max_warmup_ms));
+  reader.read("cold_rate", out.cold_rate, 0, max_cold_rate);
   if (out.health_path.empty() || out.health_path.front() != '/') {
     reader.fail(error_code::out_of_range, "health_path", "a path starts with /");
   }
--- a/src/config/to_document.cpp
+++ b/src/config/to_document.cpp
@@ -22,12 +22,20 @@
 }
 
 json to_json(const service& s) {
-  return {{"floor", s.floor},
-          {"secret_sha256", base::to_hex(s.secret_sha256)},
-          {"queue_limit", s.queue_limit},
-          {"timeout_ms", static_cast<std::uint64_t>(s.timeout.count())},
-          {"health_path", s.health_path},
-          {"max_connections", s.max_connections}};
+  json out = {{"floor", s.floor},
+              {"secret_sha256", base::to_hex(s.secret_sha256)},
+              {"queue_limit", s.queue_limit},
+              {"timeout_ms", static_cast<std::uint64_t>(s.timeout.count())},
+              {"health_path", s.health_path},
+              {"max_connections", s.max_connections}};
+  // Builds without these members refuse a document that has them.
+  if (s.warmup.count() > 0) {
+    out["warmup_ms"] = static_cast<std::uint64_t>(s.warmup.count());
+  }
+  if (s.cold_rate > 0) {
+    out["cold_rate"] = s.cold_rate;
+  }
+  return out;
 }
 
 json to_json(const route& r) {
--- /dev/null
+++ b/src/fleet/control_cold.cpp
@@ -0,0 +1,45 @@
+// What a control instance does for cold servers: permits, and documents for earlier builds.
+
+#include <string>
+
+#include "kingcupshunt/fleet/control_core.h"
+
+namespace kingcupshunt::fleet {
+
+using peer::message_kind;
+
+namespace {
+
+constexpr base::seconds cold_log_interval{1};
+
+} // namespace
+
+/// Sends the entries that report here their permits for cold servers.
+void control_core::issue_cold_permits(base::time_point now) {
+  for (const auto& [id, e] : entries_) {
+    cold_.note_entry(id, e.data_centre, e.received_at);
+  }
+  for (const auto& [to, grant] : cold_.issue(has_majority_contact(now), now)) {
+    hooks_.send(to, message_kind::permit_grant, peer::pack(grant));
+  }
+  if (cold_.size() != cold_logged_ && now >= cold_log_at_) {
+    cold_logged_ = cold_.size();
+    cold_log_at_ = now + cold_log_interval;
+    log("cold_servers", "count=" + std::to_string(cold_logged_));
+  }
+}
+
+/// The content without members that builds before the cold terms refuse.
+nlohmann::json control_core::without_cold_terms(nlohmann::json content) {
+  if (const auto services = content.find("services"); services != content.end()) {
+    for (auto& [name, service] : services->items()) {
+      if (service.is_object()) {
+        service.erase("warmup_ms");
+        service.erase("cold_rate");
+      }
+    }
+  }
+  return content;
+}
+
+} // namespace kingcupshunt::fleet
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -73,6 +73,7 @@
   }
   documents_.push_back({document.version, std::move(parsed.value())});
   newest_texts_.clear();
+  newest_plain_texts_.clear();
   if (documents_.size() > max_documents) {
     documents_.pop_front();
   }
@@ -253,7 +254,7 @@
   if (is_in_transit) {
     answer.table.to = answer.table.from;
   } else if (answer.table.to > answer.table.from) {
-    answer.table.records = table_.changed_since(answer.table.from);
+    answer.table.records = table_.changed_since(answer.table.from, now);
     e.sent_position = answer.table.to;
     e.sent_at = now;
   }
@@ -277,11 +278,13 @@
   out.applied = log_->log().applied_index();
   out.version = newest.version;
   out.base = fetch.held != 0 && base != documents_.end() ? fetch.held : 0;
-  auto& text = newest_texts_[out.base];
+  auto& text = (fetch.reads_cold_terms ? newest_texts_ : newest_plain_texts_)[out.base];
   if (text.empty()) {
-    const bool is_whole = out.base == 0;
-    text =
-        is_whole ? newest.content.dump() : config::make_delta(base->content, newest.content).dump();
+    const auto content_of = [&](const past_document& d) {
+      return fetch.reads_cold_terms ? d.content : without_cold_terms(d.content);
+    };
+    const auto content = content_of(newest);
+    text = out.base == 0 ? content.dump() : config::make_delta(content_of(*base), content).dump();
   }
   out.text = text;
   hooks_.send(from, message_kind::document_content, peer::pack(out));
@@ -382,8 +385,9 @@
       (!loads_.failures.empty() && loads_.reported_at.size() <= max_single_relay_entries)) {
     flush_at_ = now + flush_interval;
     share_failures(now);
-    flush_loads();
+    flush_loads(now);
     issue_permits(now);
+    issue_cold_permits(now);
   }
   if (now >= push_at_) {
     push_at_ = now + flush_interval;
--- a/src/fleet/control_relay.cpp
+++ b/src/fleet/control_relay.cpp
@@ -9,8 +9,9 @@
 void control_core::on_pulse(std::string_view from, const load_report& report,
                             base::time_point now) {
   if (loads_.reported_at.insert_or_assign(std::string(from), now).second) {
-    send_limits(from);
+    send_limits(from, now);
   }
+  cold_.on_report(from, report, now);
   if (report.is_full) {
     remove_load(from);
   }
@@ -43,6 +44,7 @@
   for (const auto& note : report.limits) {
     set_limit(note, now);
   }
+  cold_.on_share(report.cold, now);
 }
 
 /// Returns whether the limit is new here; the entries are then told with the next load totals.
@@ -60,13 +62,14 @@
   return is_changed;
 }
 
-/// Sends all limits to an entry that has just begun to report here.
-void control_core::send_limits(std::string_view to) {
+/// Sends all limits and cold servers to an entry that has just begun to report here.
+void control_core::send_limits(std::string_view to, base::time_point now) {
   load_report out;
+  out.cold = cold_.notes(now);
   for (const auto& [server, per_second] : loads_.permits.limits()) {
     out.limits.push_back({server, true, per_second, loads_.limited_in[server]});
   }
-  if (!out.limits.empty()) {
+  if (!out.limits.empty() || !out.cold.empty()) {
     hooks_.send(to, message_kind::load_total, peer::pack(out));
   }
 }
@@ -125,7 +128,8 @@
   load_report out;
   out.failures = std::exchange(loads_.to_share, {});
   out.limits = std::exchange(loads_.limits_to_share, {});
-  const bool is_empty = out.failures.empty() && out.limits.empty();
+  out.cold = cold_.take_share(now);
+  const bool is_empty = out.failures.empty() && out.limits.empty() && out.cold.empty();
   if (is_empty || loads_.reported_at.size() >= count_entries(now)) {
     return;
   }
@@ -137,11 +141,13 @@
 
 /// Sends the same message to all entries that report to this instance. The sums include the
 /// receiver's own load, which it can subtract.
-void control_core::flush_loads() {
-  if (loads_.changed.empty() && loads_.failures.empty() && loads_.limits.empty()) {
+void control_core::flush_loads(base::time_point now) {
+  if (loads_.changed.empty() && loads_.failures.empty() && loads_.limits.empty() &&
+      !cold_.has_news()) {
     return;
   }
   load_report out;
+  out.cold = cold_.take_news(now);
   for (const auto& server : loads_.changed) {
     const auto it = loads_.by_server.find(server);
     std::uint32_t n = 0;
--- a/src/fleet/entry_link.cpp
+++ b/src/fleet/entry_link.cpp
@@ -224,7 +224,7 @@
     return;
   }
   fetch_until_ = now + settings_.fetch_timeout;
-  hooks_.send(from, message_kind::document_fetch, peer::pack(document_fetch{version_}));
+  hooks_.send(from, message_kind::document_fetch, peer::pack(document_fetch{version_, true}));
 }
 
 void entry_link::on_content(const document_content& content) {
--- a/src/fleet/server_table.cpp
+++ b/src/fleet/server_table.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// A server that counts down its cold time states a slightly different end with each announcement.
+/// Differences up to this are not sent on.
+constexpr base::milliseconds cold_tolerance{250};
+
 /// Compares the members that affect routing.
 bool has_same_content(const server_record& a, const server_record& b) {
   return a.service == b.service && a.address == b.address && a.data_centre == b.data_centre &&
@@ -24,6 +28,25 @@
 void server_table::touch(entry& e, base::time_point now) {
   e.position = ++position_;
   e.changed_at = now;
+  e.record.cold_left_ms = cold_left_ms(e, now);
+}
+
+std::uint32_t server_table::cold_left_ms(const entry& e, base::time_point now) {
+  const auto left = std::chrono::ceil<base::milliseconds>(e.cold_until - now);
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 0));
+}
+
+/// Returns whether the server is to be cold for longer than known. An earlier end than known is not
+/// a change: the time ends by itself, and answers of the server tell its users sooner.
+bool server_table::note_cold(entry& e, const server_record& record, bool is_new,
+                             base::time_point now) {
+  const auto until = now + base::milliseconds(record.cold_left_ms);
+  const auto known = std::max(e.cold_until, now);
+  if (!is_new && until <= known + cold_tolerance) {
+    return false;
+  }
+  e.cold_until = until;
+  return true;
 }
 
 /// A delayed announcement may name an address that a later incarnation has since taken over.
@@ -61,6 +84,7 @@
       supersede_address(record, now);
     }
     auto& e = entries_[record.id];
+    note_cold(e, record, true, now);
     e.record = std::move(record);
     e.received_at = now;
     touch(e, now);
@@ -90,7 +114,9 @@
       return merge_result::stale;
     }
   }
-  const bool is_change = !has_same_content(record, held);
+  const bool is_later_copy = is_same && record.sequence == held.sequence; // of another home
+  const bool is_colder = !is_later_copy && note_cold(it->second, record, !is_same, now);
+  const bool is_change = is_colder || !has_same_content(record, held);
   if (is_change && record.state != server_state::gone) {
     supersede_address(record, now);
   }
@@ -141,6 +167,15 @@
   });
 }
 
+std::vector<server_record> server_table::changed_since(std::uint64_t position,
+                                                       base::time_point now) const {
+  auto out = changed_since(position);
+  for (auto& record : out) {
+    record.cold_left_ms = cold_left_ms(entries_.find(record.id)->second, now);
+  }
+  return out;
+}
+
 std::vector<server_record> server_table::changed_since(std::uint64_t position) const {
   std::vector<const entry*> found;
   for (const auto& [id, e] : entries_) {
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -111,6 +111,7 @@
   core_settings.data_centre = s.data_centre;
   core_settings.start = runtime.seed;
   core_settings.beat_interval = s.bounds.beat_interval;
+  core_settings.cold_bound = s.bounds.cold;
   fleet::control_hooks core_hooks;
   core_hooks.send = [this](std::string_view to, message_kind kind, std::string body) {
     runtime.send(to, kind, std::move(body));
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -140,6 +140,7 @@
   out.is_cut_off = [this] { return traffic.is_cut_off(); };
   out.on_server = [this](const fleet::server_record& r) { traffic.on_server(r); };
   out.on_document = [this](const config::snapshot& s) {
+    traffic.on_document(s);
     if (const auto limits = s.entry_limits(); limits && entry) {
       entry->set_caller_limits(limits->head_bytes, limits->head_timeout, limits->idle_timeout);
     }
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -40,6 +40,7 @@
   balance::board_settings out;
   out.data_centre = runtime.settings.data_centre;
   out.seed = runtime.seed;
+  out.cold_bound = runtime.settings.bounds.cold;
   return out;
 }
 
@@ -138,6 +139,7 @@
   };
   out.on_leaving = [this](const balance::leaving_notice& notice) { log_leaving(notice); };
   out.on_pause = [this](const balance::pause_change& change) { note_pause(change); };
+  out.on_cold = [this](const balance::cold_change& change) { note_cold(change); };
   return out;
 }
 
@@ -268,6 +270,7 @@
     done(std::move(*refused));
     return;
   }
+  board_.note_request(service, now);
   gates_[service].enter(turn, capacity_of(service, now), now,
                         [this, service, done = std::move(done)](admission::gate_result refused) {
                           if (!refused) {
@@ -342,6 +345,9 @@
   if (board_.limit_of(record.id)) {
     runtime_.metrics.count("limited_server_requests_total", tried.empty() ? "first" : "again");
   }
+  if (board_.is_cold(record.id, now)) {
+    runtime_.metrics.count("cold_server_requests_total", tried.empty() ? "first" : "again");
+  }
   proxy::upstream_target out;
   out.id = record.id;
   out.instance = record.id;
@@ -463,6 +469,7 @@
     return; // the new relay has issued permits for the same requests
   }
   board_.add_permits(*grant, now);
+  add_cold_permits(*grant, now);
   for (const auto& [service, gate] : gates_) {
     dispatch(service, now);
   }
@@ -478,6 +485,7 @@
     board_.change_relay(is_local);
     full_report_at_ = {};
   }
+  board_.set_relay(!relay_.empty(), link_.entry_count(), now);
   if (relay_.empty()) {
     return;
   }
@@ -493,7 +501,9 @@
     // Changes come last: `report.limits` has the limits that have ended.
     report.limits.insert(report.limits.begin(), full.limits.begin(), full.limits.end());
   }
-  const bool is_empty = report.loads.empty() && report.failures.empty() && report.limits.empty();
+  board_.add_cold_report(report, now);
+  const bool is_empty = report.loads.empty() && report.failures.empty() && report.limits.empty() &&
+                        report.cold.empty();
   if (report.is_full || !is_empty) {
     runtime_.send(relay_, message_kind::load_pulse, peer::pack(report));
   }
@@ -506,6 +516,7 @@
   start_gate_.tick(now);
   rates_.tick(now);
   board_.tick(now);
+  runtime_.metrics.set("cold_servers", static_cast<double>(board_.cold_servers(now)));
   send_report(now);
   log_suspicions(now);
   log_full_services(now);
--- a/src/node/entry_traffic.h
+++ b/src/node/entry_traffic.h
@@ -34,6 +34,7 @@
   proxy::hooks make_hooks();
 
   void on_server(const fleet::server_record& record);
+  void on_document(const config::snapshot& configuration);
   void update_controls();
   void receive(std::string_view from, peer::message_kind kind, std::string_view body,
                base::time_point now);
@@ -77,6 +78,8 @@
                       const std::vector<std::string>& tried);
   bool may_log(base::time_point now);
   void log_leaving(const balance::leaving_notice& notice); // entry_leaving.cpp
+  void note_cold(const balance::cold_change& change);      // entry_cold.cpp
+  void add_cold_permits(const fleet::permit_grant& grant, base::time_point now);
 
   role_runtime& runtime_;
   fleet::entry_link& link_;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -288,6 +288,7 @@
       note_server_limit();
       note_server_leaving();
       note_server_pause();
+      note_server_cold();
       co_return true;
     }
     note_server_leaving();
@@ -482,6 +483,9 @@
   a.server_limit = server_limit_;
   a.is_leaving = is_leaving_;
   a.pause = pause_;
+  if (cold_until_) {
+    a.cold_left = std::max(*cold_until_ - base::clock::now(), base::duration{});
+  }
   return a;
 }
 
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -107,6 +107,7 @@
   void note_server_limit();
   void note_server_leaving(); // exchange_notices.cpp
   void note_server_pause();
+  void note_server_cold(); // exchange_notices.cpp
 
   std::shared_ptr<entry_context> context_owner_; ///< a cancelled try may outlive the session
   entry_context& context_;
@@ -127,6 +128,7 @@
   double server_limit_ = 0;
   bool is_leaving_ = false;
   base::duration pause_{}; ///< asked for by the server
+  std::optional<base::time_point> cold_until_;
   std::optional<base::time_point> silent_since_;
   base::time_point started_;
   base::time_point sent_at_;
--- a/src/proxy/exchange_notices.cpp
+++ b/src/proxy/exchange_notices.cpp
@@ -46,4 +46,23 @@
   context_.pool.discard_idle(target_.id);
 }
 
+/// Reads how long the server remains cold. Answers of another instance say nothing about the
+/// intended one.
+void exchange::note_server_cold() {
+  const auto& names = context_.settings.names;
+  const auto fields = names.server_cold.empty() ? 0 : answer().count(names.server_cold);
+  const bool is_other_instance = answer().result_int() == 421 && !names.expected_instance.empty();
+  if (fields == 0 || is_other_instance) {
+    return;
+  }
+  const auto value = answer()[names.server_cold];
+  const auto left =
+      fields == 1 ? cold_left_of({value.data(), value.size()}) : std::optional<base::duration>();
+  if (!left) {
+    context_.metrics.count("upstream_cold_unreadable_total");
+    return;
+  }
+  cold_until_ = base::clock::now() + *left;
+}
+
 } // namespace kingcupshunt::proxy
--- a/src/proxy/head_checks.cpp
+++ b/src/proxy/head_checks.cpp
@@ -255,4 +255,12 @@
   return is_valid ? std::optional(limit) : std::nullopt;
 }
 
+std::optional<base::duration> cold_left_of(std::string_view value) noexcept {
+  const auto ms = server_limit_of(value); // the same syntax
+  if (!ms) {
+    return std::nullopt;
+  }
+  return base::from_seconds(std::min(*ms / 1000, base::to_seconds(max_cold_left)));
+}
+
 } // namespace kingcupshunt::proxy
--- a/src/rates/request_permits.cpp
+++ b/src/rates/request_permits.cpp
@@ -1,5 +1,6 @@
 #include "kingcupshunt/rates/request_permits.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace kingcupshunt::rates {
@@ -19,11 +20,15 @@
 }
 
 void request_permits::add(std::uint32_t n, base::time_point now) {
-  if (!limit_) {
+  add_until(n, now + permit_lifetime, now);
+}
+
+void request_permits::add_until(std::uint32_t n, base::time_point expires, base::time_point now) {
+  if (!limit_ || n == 0) {
     return; // issued before the limit ended
   }
   std::erase_if(batches_, [now](const batch& b) { return b.expires <= now; });
-  batches_.push_back({now + permit_lifetime, n});
+  batches_.insert(std::ranges::upper_bound(batches_, expires, {}, &batch::expires), {expires, n});
 }
 
 std::uint32_t request_permits::available(base::time_point now) const noexcept {
--- a/tests/fleet/server_table_test.cpp
+++ b/tests/fleet/server_table_test.cpp
@@ -76,3 +76,56 @@
   CHECK(t.mark_silent("c1", base::seconds(4), start + base::seconds(5)) == 2);
   CHECK(t.changed_since(position).size() == 2);
 }
+
+// Guards against entries that take a server for warm which has become cold again.
+TEST_CASE("a later end of the cold time is a change, its countdown is none") {
+  server_table t;
+  auto r = record("a", 10, 1);
+  (void)t.merge(r, start);
+  r.sequence = 2;
+  r.cold_left_ms = 3000;
+  const auto position = t.position();
+  CHECK(t.merge(r, start) == merge_result::changed);
+  CHECK(t.changed_since(position).size() == 1);
+  r.sequence = 3;
+  r.cold_left_ms = 1600; // announced 100 ms late
+  CHECK(t.merge(r, start + base::milliseconds(1500)) == merge_result::repeated);
+  r.sequence = 4;
+  r.cold_left_ms = 0;
+  CHECK(t.merge(r, start + base::milliseconds(3000)) == merge_result::repeated);
+  r.sequence = 5;
+  r.cold_left_ms = 400;
+  CHECK(t.merge(r, start + base::milliseconds(4500)) == merge_result::changed);
+}
+
+// Guards against small delays that add up while a server keeps stating the same time.
+TEST_CASE("a cold time that moves on in small steps is sent on in time") {
+  server_table t;
+  auto r = record("a", 10, 1);
+  r.cold_left_ms = 3000;
+  (void)t.merge(r, start);
+  int changes = 0;
+  for (int i = 1; i <= 20; ++i) {
+    ++r.sequence;
+    changes += t.merge(r, start + i * base::milliseconds(200)) == merge_result::changed ? 1 : 0;
+  }
+  CHECK(changes == 10);
+}
+
+// Guards against a cold time that begins anew wherever a record is sent on late.
+TEST_CASE("a record that is sent on late states the cold time that is left") {
+  server_table t;
+  auto r = record("a", 10, 1);
+  r.cold_left_ms = 3000;
+  (void)t.merge(r, start);
+  const auto late = t.changed_since(0, start + base::milliseconds(2000));
+  REQUIRE(late.size() == 1);
+  CHECK(late[0].cold_left_ms == 1000);
+  CHECK(t.changed_since(0, start + base::seconds(9))[0].cold_left_ms == 0);
+  CHECK(t.merge(r, start + base::seconds(9)) == merge_result::stale);
+  r.home = "c2"; // the same announcement, from another instance
+  CHECK(t.merge(r, start + base::seconds(9)) == merge_result::changed);
+  CHECK(t.find("a")->cold_left_ms == 0);
+  CHECK(t.mark_silent("c2", base::seconds(1), start + base::seconds(10)) == 1);
+  CHECK(t.find("a")->cold_left_ms == 0);
+}
