Check the sum of cold permits over time, and the platform's cold terms

Cause: with two relays that both issue the whole rate of a cold server the tests of partitions and relay changes still passed, since the bound in a second leaves room for that while permits are used at once. A control instance also counted on hearing from all entries 2 s after its start, although these connect again after up to 2 s and ask each 0.5 s.

Change: these tests also check that a server gets no more than its rate over the whole time. A control instance issues cold permits from 2.5 s after its start. Entries send the stamp only while a service states a rate.

--- a/src/balance/server_board_cold.cpp
+++ b/src/balance/server_board_cold.cpp
@@ -182,6 +182,9 @@
 }
 
 void server_board::add_cold_report(fleet::load_report& report, base::time_point now) {
+  if (cold_terms_.empty()) {
+    return;
+  }
   first_stamp_ = first_stamp_ == 0 ? stamp_of(now) : first_stamp_;
   report.stamp = stamp_of(now);
   has_cold_news_ = false;
--- a/src/fleet/cold_relay.cpp
+++ b/src/fleet/cold_relay.cpp
@@ -13,8 +13,9 @@
 constexpr base::seconds entry_retention{10};
 /// An entry that does not report for this long gets no permits. Entries report each second.
 constexpr base::milliseconds report_timeout{2500};
-/// A control instance that starts hears from all entries within this time, by which it divides.
-constexpr base::seconds start_delay{2};
+/// A control instance that starts hears from all entries within this time, by whose number it
+/// divides: they connect again after at most 2 s and ask each 0.5 s.
+constexpr base::milliseconds start_delay{2500};
 /// A smaller change of the end of a server's cold time is not sent on.
 constexpr base::milliseconds news_tolerance{250};
 constexpr std::uint32_t max_cold_ms = 600'000;
--- a/tests/balance/server_cold_test.cpp
+++ b/tests/balance/server_cold_test.cpp
@@ -95,6 +95,7 @@
   CHECK(report_at(told, start).cold.empty());
   CHECK(told.cold_servers(start) == 0);
   CHECK(!told.has_news());
+  CHECK(report_at(usual, start).stamp == 0);
 }
 
 // Guards against a cold server that is chosen for being idle.
--- a/tests/fleet/cold_servers_test.cpp
+++ b/tests/fleet/cold_servers_test.cpp
@@ -28,6 +28,13 @@
   f.run(base::seconds(4), load);
 }
 
+/// Whether the requests to a server since `from` are no more than its rate allows, besides a few.
+/// Relays that issue too much exceed this before they exceed the bound.
+bool is_within_rate(const cold_fleet& f, const std::string& id, base::time_point from) {
+  return static_cast<double>(f.sent_since(id, from)) <=
+         cold_rate * base::to_seconds(f.now - from) + 5;
+}
+
 /// Longest time without a request to a server that is cold from `from` until now.
 base::duration longest_gap(const cold_fleet& f, const std::string& id, base::time_point from) {
   auto last = from;
@@ -145,6 +152,7 @@
 TEST_CASE("the bound holds while the entries change to another relay one after the other") {
   cold_fleet f(three_controls, 12, 1);
   warm_up(f, 20);
+  const auto started_at = f.now;
   f.start_server(server(20), "dc0", base::seconds(60));
   f.run(base::seconds(2), usual_load);
   for (int change = 0; change < 6; ++change) {
@@ -155,6 +163,7 @@
     f.run(base::seconds(2), usual_load);
   }
   CHECK(static_cast<double>(f.most_in_a_second()) <= bound);
+  CHECK(is_within_rate(f, server(20), started_at));
   const auto from = f.now;
   f.run(base::seconds(4), usual_load);
   CHECK(static_cast<double>(f.sent_since(server(20), from)) >= 0.5 * 4 * cold_rate);
@@ -185,8 +194,10 @@
         f.cut.insert(id);
       }
     }
+    const auto cut_at = f.now;
     f.run(base::seconds(20), usual_load);
     CHECK(static_cast<double>(f.most_in_a_second()) <= bound);
+    CHECK(is_within_rate(f, server(20), cut_at));
     const auto from = f.now;
     f.run(base::seconds(4), usual_load);
     CHECK(static_cast<double>(f.sent_since(server(20), from)) >= 0.5 * 4 * cold_rate);
@@ -233,6 +244,7 @@
   CHECK(static_cast<double>(f.most_in_a_second()) <= bound);
   for (int i = 60; i < 66; ++i) {
     CHECK(static_cast<double>(f.sent_since(server(i), from)) >= 0.5 * 6 * cold_rate);
+    CHECK(is_within_rate(f, server(i), from));
   }
 }
 
