Test that a configuration does not hide an order before it from the lease

Cause: in a trial with faults put into the code, all tests passed while an entry took the log index of a configuration's message without its order.

Change: a test for that message.

--- a/tests/fleet/evacuation_test.cpp
+++ b/tests/fleet/evacuation_test.cpp
@@ -471,6 +471,21 @@
   CHECK(e.link->lease().applied() == 6);
 }
 
+TEST_CASE("a configuration that comes before the order that precedes it proves no freshness") {
+  // Guards against a log index that covers an order of which only the configuration's message says
+  // that there is one.
+  lone_entry e;
+  document_content content;
+  content.applied = 9;
+  content.version = 1;
+  content.text = document(1).text;
+  content.knows_evacuations = true;
+  content.evacuations = 1;
+  e.link->receive("c1", message_kind::document_content, peer::pack(content), e.now);
+  CHECK(e.link->version() == 1);
+  CHECK(e.link->lease().applied() == 0);
+}
+
 TEST_CASE("an entry without contact keeps the last evacuations it knows") {
   fleet_with_disks f;
   REQUIRE(f.is_accepted("west", true));
