Make an entry's paths to the servers an explicit state and refuse at once without one

Change: balance::path_monitor distinguishes direct, tunnelled and none. Without a path, requests are refused with 503 "no_path", not run, and a Retry-After between 0.3 and 1.3 s. Probe connections, at most one in 300 ms, find the path back; they replace the direct connections of callers' requests that tested it. Failures while the path is lost or in doubt do not count against servers. entry_ask states has_no_path, and fleet::choose_addresses decides which entries callers are given.

The tests of proxy and node have not been run on this commit.

--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -53,7 +53,8 @@
   bool is_ready = false;
   bool is_leaving = false;
   std::string tunnel_address; ///< "ip:port" for other entries; may be empty
-  bool is_cut_off = false;    ///< reaches backend servers only through other entries
+  bool is_cut_off = false;    ///< does not reach backend servers directly
+  bool has_no_path = false;   ///< does not reach them through other entries either
   base::time_point received_at{};
   std::uint64_t sent_position = 0; ///< of the server table, as last sent in an answer
   base::time_point sent_at{};
@@ -90,7 +91,8 @@
                base::time_point now);
   void tick(base::time_point now);
 
-  /// Addresses, for callers, of the entry instances that can serve.
+  /// Addresses, for callers, of the entry instances that can serve; see choose_addresses for those
+  /// that are cut off from the servers.
   std::vector<std::string> entry_addresses(base::time_point now) const;
 
   /// Ids of the other control instances known.
--- a/include/kingcupshunt/fleet/entry_link.h
+++ b/include/kingcupshunt/fleet/entry_link.h
@@ -35,9 +35,10 @@
 
 struct entry_link_hooks {
   peer::send_function send;
-  std::function<bool()> is_ready;   ///< sent to the control instances, for callers
-  std::function<bool()> is_leaving; ///< a planned stop has begun
-  std::function<bool()> is_cut_off; ///< from the backend servers; may be empty
+  std::function<bool()> is_ready;    ///< sent to the control instances, for callers
+  std::function<bool()> is_leaving;  ///< a planned stop has begun
+  std::function<bool()> is_cut_off;  ///< from the backend servers; may be empty
+  std::function<bool()> has_no_path; ///< to them, not even through other entries; may be empty
   std::function<void(const server_record&)> on_server;
   std::function<void(const config::snapshot&)> on_document;
   std::function<void()> on_controls; ///< the control instances or voters changed
--- a/include/kingcupshunt/fleet/messages.h
+++ b/include/kingcupshunt/fleet/messages.h
@@ -31,15 +31,17 @@
   std::uint64_t table_position = 0; ///< of its server table, as applied by the sender
   std::uint64_t voters_index = 0;   ///< log index that set the voters known to the sender
   std::string tunnel_address; ///< "ip:port" for entries that cannot reach servers; may be empty
-  bool is_cut_off = false;    ///< reaches servers only through other entries
+  bool is_cut_off = false;    ///< does not reach servers directly
   bool needs_tunnels = false; ///< the answer should list entries that offer tunnels
+  bool has_no_path = false;   ///< cut off, and does not reach servers through other entries either
 
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("q", sequence), MSGPACK_NVP("e", entry_address),
                      MSGPACK_NVP("z", data_centre), MSGPACK_NVP("r", is_ready),
                      MSGPACK_NVP("l", is_leaving), MSGPACK_NVP("a", applied),
                      MSGPACK_NVP("ts", table_start), MSGPACK_NVP("tp", table_position),
                      MSGPACK_NVP("vi", voters_index), MSGPACK_NVP("ta", tunnel_address),
-                     MSGPACK_NVP("co", is_cut_off), MSGPACK_NVP("nt", needs_tunnels))
+                     MSGPACK_NVP("co", is_cut_off), MSGPACK_NVP("nt", needs_tunnels),
+                     MSGPACK_NVP("np", has_no_path))
 };
 
 /// Changes of one control instance's server table (in entry_answer, or alone as table_push).
--- a/include/kingcupshunt/proxy/hooks.h
+++ b/include/kingcupshunt/proxy/hooks.h
@@ -29,6 +29,8 @@
 struct connection_plan {
   bool is_direct_first = true; ///< false: through the tunnel first
   std::string tunnel;          ///< "ip:port" of an instance that can connect to it; may be empty
+  /// Greatest time for each way, when it is shorter than the connect timeout. Empty: as set.
+  std::optional<base::duration> timeout;
 };
 
 /// How a new connection to an upstream was established, or that it was not.
@@ -97,6 +99,9 @@
 
   /// Plans a new connection to the upstream. May be empty: it is direct.
   std::function<connection_plan(const std::string& upstream)> plan_connection;
+  /// Called as soon as the direct connection of a plan has failed and its tunnel remains. False:
+  /// the tunnel is not tried. May be empty: it is tried.
+  std::function<bool(const std::string& upstream)> note_direct_failure;
   /// Called after each attempt to establish a connection that was planned. May be empty.
   std::function<void(const connection_outcome&)> note_connection;
 
--- a/include/kingcupshunt/proxy/refusal.h
+++ b/include/kingcupshunt/proxy/refusal.h
@@ -21,6 +21,9 @@
   ran_state ran = ran_state::no;
   std::optional<base::milliseconds> retry_after; ///< only when a time is known
   bool is_transient = false; ///< from `hooks::pick`: a later call before the deadline may succeed
+  /// From `hooks::pick`: holds for every server, so that it replaces the failures of earlier tries
+  /// if none of them may have run the request.
+  bool is_general = false;
 };
 
 /// JSON body of a refusal: reason, message, ran, request_id.
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -6,6 +6,7 @@
 
 #include "kingcupshunt/base/rendezvous.h"
 #include "kingcupshunt/config/document.h"
+#include "kingcupshunt/fleet/address_choice.h"
 #include "kingcupshunt/peer/handle.h"
 
 namespace kingcupshunt::fleet {
@@ -225,7 +226,11 @@
   if (e.is_cut_off != query.is_cut_off) {
     log(query.is_cut_off ? "entry_cut_off" : "entry_reaches_servers", from);
   }
+  if (query.has_no_path && !e.has_no_path) {
+    log("entry_without_path", from);
+  }
   e.is_cut_off = query.is_cut_off;
+  e.has_no_path = query.has_no_path;
   e.received_at = now;
   const auto& replica = log_->log();
   entry_answer answer;
@@ -445,16 +450,17 @@
   return out;
 }
 
-/// An entry that is cut off from the servers is listed only when all are.
 std::vector<std::string> control_core::entry_addresses(base::time_point now) const {
-  std::vector<std::string> out;
-  std::vector<std::string> cut_off;
+  std::vector<address_candidate> candidates;
   for (const auto& [id, e] : entries_) {
     if (is_usable(id, e, now)) {
-      (e.is_cut_off ? cut_off : out).push_back(e.address);
+      const auto reach = e.has_no_path  ? entry_reach::none
+                         : e.is_cut_off ? entry_reach::tunnelled
+                                        : entry_reach::direct;
+      candidates.push_back({e.address, reach});
     }
   }
-  return out.empty() ? cut_off : out;
+  return choose_addresses(candidates);
 }
 
 } // namespace kingcupshunt::fleet
--- a/src/fleet/entry_link.cpp
+++ b/src/fleet/entry_link.cpp
@@ -90,6 +90,7 @@
   query.voters_index = lease_.voters_index();
   query.tunnel_address = settings_.tunnel_address;
   query.is_cut_off = hooks_.is_cut_off && hooks_.is_cut_off();
+  query.has_no_path = hooks_.has_no_path && hooks_.has_no_path();
   query.needs_tunnels =
       !settings_.tunnel_address.empty() && (query.is_cut_off || is_short_of_tunnels() ||
                                             now - tunnels_at_ > settings_.tunnel_list_lifetime);
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -138,6 +138,7 @@
   out.is_ready = [this] { return is_ready(); };
   out.is_leaving = [this] { return is_leaving; };
   out.is_cut_off = [this] { return traffic.is_cut_off(); };
+  out.has_no_path = [this] { return traffic.has_no_path(); };
   out.on_server = [this](const fleet::server_record& r) { traffic.on_server(r); };
   out.on_document = [this](const config::snapshot& s) {
     if (const auto limits = s.entry_limits(); limits && entry) {
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -105,6 +105,9 @@
     return pick(request, fingerprint, tried);
   };
   out.plan_connection = [this](const std::string&) { return plan_connection(); };
+  out.note_direct_failure = [this](const std::string& server) {
+    return note_direct_failure(server);
+  };
   out.note_connection = [this](const proxy::connection_outcome& o) { note_connection(o); };
   out.report = [this](const proxy::authorized_request& request, const health::attempt& a) {
     report(request, a);
@@ -210,6 +213,10 @@
 void entry_traffic::admit(const proxy::authorized_request& request,
                           std::function<void(proxy::decided<void>)> done) {
   const auto now = base::clock::now();
+  if (auto refused = refusal_of_path()) {
+    done(std::move(*refused));
+    return;
+  }
   retries_.deposit(request.service->name, now);
   if (!request.workspace || request.workspace->is_unlimited) {
     enter_gate(request, std::move(done));
@@ -249,7 +256,7 @@
   admission::gate_capacity out;
   out.free_slots = board_.free_slots(service, now);
   out.starts_per_second = board_.starts_per_second(service, now) / link_.entry_count();
-  if (board_.is_left(service, now)) {
+  if (board_.is_left(service, now) || has_no_path()) {
     out.free_slots = std::numeric_limits<std::uint32_t>::max(); // `pick` refuses them at once
   }
   return out;
@@ -313,6 +320,9 @@
     return not_run(503, "stale_configuration", "no contact with a majority of control instances",
                    lease_retry_after);
   }
+  if (auto refused = refusal_of_path()) {
+    return std::move(*refused);
+  }
   if (crashes_.is_suspect(fingerprint, now)) {
     return not_run(503, "crash_suspect",
                    "this request is suspected of crashing the servers that ran it",
@@ -352,8 +362,11 @@
   return out;
 }
 
-void entry_traffic::report(const proxy::authorized_request& request, const health::attempt& a) {
+void entry_traffic::report(const proxy::authorized_request& request,
+                           const health::attempt& reported) {
   const auto now = base::clock::now();
+  auto a = reported;
+  note_attempt(a, now);
   board_.end(a.upstream, request.serial, a, now);
   switch (a.end) {
   case health::attempt_end::closed_unanswered:
@@ -506,6 +519,7 @@
   start_gate_.tick(now);
   rates_.tick(now);
   board_.tick(now);
+  probe_paths(now);
   send_report(now);
   log_suspicions(now);
   log_full_services(now);
--- a/src/node/entry_traffic.h
+++ b/src/node/entry_traffic.h
@@ -41,6 +41,7 @@
 
   balance::server_board& board() noexcept { return board_; }
   bool is_cut_off() const noexcept { return path_.is_cut_off(); }
+  bool has_no_path() const noexcept { return path_.state() == balance::path_state::none; }
   std::string address_of(std::string_view server) const { return board_.address_of(server); }
 
 private:
@@ -63,8 +64,15 @@
   bool may_retry(const proxy::authorized_request& request, const health::attempt& last);
   std::optional<base::duration> hedge_delay(const proxy::authorized_request& request) const;
   admission::gate_capacity capacity_of(const std::string& service, base::time_point now) const;
-  proxy::connection_plan plan_connection();
+  proxy::connection_plan plan_connection(); // entry_paths.cpp
+  bool note_direct_failure(const std::string& server);
   void note_connection(const proxy::connection_outcome& outcome);
+  void note_attempt(health::attempt& a, base::time_point now);
+  std::optional<proxy::refusal> refusal_of_path();
+  std::string host_of(std::string_view server) const;
+  void probe_paths(base::time_point now);
+  void probe_path(balance::probe_way way, const fleet::server_record& server);
+  void update_path(balance::path_state before, std::string_view server);
   void dispatch(const std::string& service, base::time_point now);
   void receive_permits(std::string_view from, std::string_view body, base::time_point now);
   void send_report(base::time_point now);
--- a/src/proxy/exchange_connect.cpp
+++ b/src/proxy/exchange_connect.cpp
@@ -24,13 +24,20 @@
   connection_outcome outcome;
   outcome.upstream = target_.id;
   const auto now = base::clock::now();
-  const auto timeout = context_.settings.connect_timeout;
+  const base::duration usual_timeout = context_.settings.connect_timeout;
+  const auto timeout = std::min(usual_timeout, plan.timeout.value_or(usual_timeout));
+  bool may_use_tunnel = has_tunnel;
   if (plan.is_direct_first || !has_tunnel) {
-    const auto head_start = has_tunnel ? context_.settings.direct_head_start : timeout;
+    const auto head_start =
+        has_tunnel ? std::min<base::duration>(context_.settings.direct_head_start, timeout)
+                   : timeout;
     outcome.is_connected = co_await connect_directly(now + head_start);
     outcome.has_direct_failed = !outcome.is_connected;
+    if (outcome.has_direct_failed && has_tunnel && !is_cancelled_ && hook.note_direct_failure) {
+      may_use_tunnel = hook.note_direct_failure(target_.id);
+    }
   }
-  if (!outcome.is_connected && has_tunnel && !is_cancelled_) {
+  if (!outcome.is_connected && may_use_tunnel && !is_cancelled_) {
     outcome.is_connected = co_await connect_through(plan.tunnel, base::clock::now() + timeout);
     outcome.is_tunnelled = outcome.is_connected;
     outcome.failed_tunnel = outcome.is_connected ? std::string{} : plan.tunnel;
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -137,7 +137,7 @@
   }
   auto picked = context_.hook.pick(auth_, fingerprint_, tried_);
   if (!picked) {
-    if (!failure_) {
+    if (!failure_ || (picked.error().is_general && !was_sent())) {
       failure_ = picked.error();
     } else if (failure_->status == 503 && !failure_->retry_after) {
       failure_->retry_after = picked.error().retry_after;
