--- a/src/node/entry_paths.cpp
+++ b/src/node/entry_paths.cpp
@@ -19,7 +19,8 @@
 /// The other instance waits up to 200 ms for the server.
 constexpr base::milliseconds tunnel_probe_timeout{250};
 /// For each way of a request's connection while the path is in doubt. An instance with 0.1 cores
-/// may need 100 ms for its part of a tunnel.
+/// may need 100 ms for its part of a tunnel. Where tunnels are the only way they keep the usual
+/// time, since the instances behind them then serve more requests.
 constexpr base::milliseconds doubtful_connect_timeout{200};
 /// Callers that were refused return after a random time between these two: not before the next
 /// probe, and soon enough to be served within the shortest timeout of callers (2 s).
@@ -53,7 +54,7 @@
   if (!tunnels.empty()) {
     out.tunnel = tunnels[++next_tunnel_ % tunnels.size()];
   }
-  if (path_.is_cut_off() || path_.is_suspected(base::clock::now())) {
+  if (path_.state() != path_state::tunnelled && path_.is_suspected(base::clock::now())) {
     out.timeout = doubtful_connect_timeout;
   }
   return out;
