Treat a status outside 100 to 599 as an answer that is not valid HTTP

Cause: the parser accepts any three digits. A status below 100 was taken for an interim answer, so that the caller waited for its whole timeout; 600 to 999 were passed on. The prober of `run` read on behind such an answer, and control::call returned the status to the command line.

Change: proxy::check_answer refuses the status: 502 answer_malformed at once, evidence against the server, connection closed, and a request that may not be repeated is not tried again. The prober counts it as failed, control::call gives an error. upstream_invalid_statuses_total counts them.

--- a/src/control/http_client.cpp
+++ b/src/control/http_client.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "kingcupshunt/base/http_status.h"
+
 namespace kingcupshunt::control {
 
 namespace {
@@ -52,6 +54,10 @@
       return http_client_error{error_.message()};
     }
     auto answer = parser_.release();
+    if (!base::is_http_status(answer.result_int())) {
+      return http_client_error{"the answer has the invalid status " +
+                               std::to_string(answer.result_int())};
+    }
     http_response out{answer.result_int(), std::string(answer[http::field::content_type]),
                       std::move(answer.body())};
     for (const auto& field : answer) {
--- a/src/node/prober.cpp
+++ b/src/node/prober.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "kingcupshunt/base/http_status.h"
 #include "kingcupshunt/settings/process_settings.h"
 
 namespace kingcupshunt::node {
@@ -61,11 +62,11 @@
     parser_->body_limit(answer_limit_bytes);
     http::async_read(
         stream_, buf_, *parser_, [self = shared_from_this()](error_code ec, std::size_t) {
-          if (ec) {
+          const auto status = ec ? 0 : self->parser_->get().result_int();
+          if (!base::is_http_status(status)) {
             self->finish(health::probe_outcome::failed);
             return;
           }
-          const auto status = self->parser_->get().result_int();
           if (status < first_final_status) {
             self->read();
             return;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "answer_owner.h"
+#include "kingcupshunt/base/http_status.h"
 #include "kingcupshunt/proxy/head_checks.h"
 #include "kingcupshunt/proxy/header_rewrite.h"
 #include "tunnel.h"
@@ -262,6 +263,9 @@
     if (parse_head(*stream, *parser_, size)) {
       co_return false;
     }
+    if (!base::is_http_status(answer().result_int())) {
+      context_.metrics.count("upstream_invalid_statuses_total");
+    }
     if (check_answer(answer(), request_->is_head, may_answer_end_with_connection()) != nullptr) {
       co_return false;
     }
--- a/src/proxy/head_checks.cpp
+++ b/src/proxy/head_checks.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/beast/core/string.hpp>
 
+#include "kingcupshunt/base/http_status.h"
+
 namespace kingcupshunt::proxy {
 
 namespace http = boost::beast::http;
@@ -149,6 +151,9 @@
 
 const char* check_answer(const response_header& head, bool is_bodyless,
                          bool may_end_with_connection) {
+  if (!base::is_http_status(head.result_int())) {
+    return "a status that HTTP does not know";
+  }
   if (head.result_int() == 101) {
     return "an upgrade that was not requested";
   }
--- a/tests/node/prober_test.cpp
+++ b/tests/node/prober_test.cpp
@@ -124,3 +124,14 @@
   CHECK(*full.is_alive);
   CHECK(accepted == 3);
 }
+
+// Guards against taking an answer that is not valid HTTP for an interim one, or for the status of a
+// server that serves.
+TEST_CASE("a probe that is answered with an invalid status has failed") {
+  const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  for (const std::string status : {"000", "001", "099", "600", "999", "2000", "20", "2x0", "-20"}) {
+    CAPTURE(status);
+    CHECK(probe_of("HTTP/1.1 " + status + " Odd\r\nContent-Length: 0\r\n\r\n" + ok, false) ==
+          health::probe_outcome::failed);
+  }
+}
