Add the request kind upload, which is not queued at servers

A configuration with the route kind upload was refused whole, so that the deployment was not served at all.

The kind is at most once for each attempt, as once. A server gets an upload only while fewer requests than its slots are known to be there, since its memory is limited and its queue would fill it. An unknown kind is refused with its name, as before.

--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -110,7 +110,8 @@
   std::string_view service;
   std::uint64_t serial = 0; ///< identifies the request until `end`
   bool is_repeatable = false;
-  bool is_urgent = false; ///< highest rank: other requests try suspected faulty servers first
+  bool is_urgent = false;      ///< highest rank: other requests try suspected faulty servers first
+  bool has_large_body = false; ///< not queued at a server, whose memory its queue would fill
 };
 
 /// The limit of a server began, changed or ended.
--- a/include/kingcupshunt/config/entities.h
+++ b/include/kingcupshunt/config/entities.h
@@ -18,6 +18,7 @@
   repeatable, ///< may run more than once
   download,   ///< repeatable, with answers too large to be held as a whole
   once,       ///< runs at most once for each attempt of its caller
+  upload,     ///< as `once`, with a large body: not queued at servers
   keyed_once  ///< runs at most once for an idempotency key, over all attempts
 };
 
--- a/src/balance/server_board.cpp
+++ b/src/balance/server_board.cpp
@@ -254,8 +254,9 @@
         std::ranges::find(tried, s->record.id) != tried.end()) {
       continue;
     }
-    if (in_flight(*s, now) >= s->record.slots + settings_.queued_per_server ||
-        !s->permits.may_send(now) || unpaused_starts(*s, now) == 0) {
+    const auto queued = request.has_large_body ? 0 : settings_.queued_per_server;
+    if (in_flight(*s, now) >= s->record.slots + queued || !s->permits.may_send(now) ||
+        unpaused_starts(*s, now) == 0) {
       is_busy = true;
       continue;
     }
--- a/src/config/entity_reader.cpp
+++ b/src/config/entity_reader.cpp
@@ -68,7 +68,8 @@
   const auto kind = kind_named(name);
   if (!kind) {
     reader.fail(error_code::out_of_range, "kind",
-                "found \"" + name + "\", allowed is repeatable, download, once or keyed_once");
+                "found \"" + name +
+                    "\", allowed is repeatable, download, once, upload or keyed_once");
     return;
   }
   out = *kind;
--- a/src/config/kind_names.cpp
+++ b/src/config/kind_names.cpp
@@ -8,10 +8,11 @@
 
 namespace {
 
-constexpr std::array<std::pair<request_kind, std::string_view>, 4> names = {{
+constexpr std::array<std::pair<request_kind, std::string_view>, 5> names = {{
     {request_kind::repeatable, "repeatable"},
     {request_kind::download, "download"},
     {request_kind::once, "once"},
+    {request_kind::upload, "upload"},
     {request_kind::keyed_once, "keyed_once"},
 }};
 
--- a/src/config/to_document.cpp
+++ b/src/config/to_document.cpp
@@ -49,7 +49,7 @@
               {"timeout_ms", static_cast<std::uint64_t>(r.timeout.count())},
               {"body_limit", r.body_limit}};
   // Instances from before there were downloads know only these two members and refuse the other.
-  if (r.kind == request_kind::download) {
+  if (r.kind == request_kind::download || r.kind == request_kind::upload) {
     out["kind"] = name_of(r.kind);
   } else {
     out["is_repeatable"] = r.is_repeatable();
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -319,7 +319,8 @@
                    suspect_retry_after);
   }
   const balance::board_request selection{request.service->name, request.serial,
-                                         request.route->is_repeatable(), rank_of(request) == 0};
+                                         request.route->is_repeatable(), rank_of(request) == 0,
+                                         request.route->kind == config::request_kind::upload};
   auto chosen = board_.begin(selection, tried, now);
   if (!chosen) {
     if (auto paused = refusal_of_pause(request.service->name, now)) {
--- a/tests/balance/server_board_test.cpp
+++ b/tests/balance/server_board_test.cpp
@@ -386,3 +386,28 @@
   CHECK(changes ==
         std::vector<std::tuple<double, double, std::uint64_t>>{{0, 2.5, 0}, {2.5, 0, 3}});
 }
+
+// A server's memory is limited: it crashed when it held more large bodies than it has slots.
+TEST_CASE("a request with a large body is not queued at a server, others are") {
+  board_fixture f(2);
+  std::uint64_t request = 0;
+  const auto upload = [&] {
+    return f.board.begin({"fitting", ++request, false, false, true}, {}, start);
+  };
+  std::map<std::string, int> uploads;
+  std::string first;            // server of request 1
+  for (int i = 0; i < 6; ++i) { // two servers with three slots
+    const auto r = upload();
+    REQUIRE(r);
+    ++uploads[r.value().id];
+    first = first.empty() ? r.value().id : first;
+  }
+  CHECK(uploads == std::map<std::string, int>{{"s0", 3}, {"s1", 3}});
+  const auto refused = upload();
+  REQUIRE(!refused);
+  CHECK(refused.error() == board_error::all_busy);
+  f.board.end(first, 1, attempt(attempt_end::ok), start);
+  CHECK(upload());
+  CHECK(!upload());
+  CHECK(!f.begin(++request, false, start).empty());
+}
--- a/tests/config/snapshot_test.cpp
+++ b/tests/config/snapshot_test.cpp
@@ -163,6 +163,7 @@
   CHECK(kind_of(R"("kind": "repeatable")") == request_kind::repeatable);
   CHECK(kind_of(R"("kind": "download")") == request_kind::download);
   CHECK(kind_of(R"("kind": "once")") == request_kind::once);
+  CHECK(kind_of(R"("kind": "upload")") == request_kind::upload);
   CHECK(kind_of(R"("kind": "keyed_once")") == request_kind::keyed_once);
   CHECK(kind_of("") == request_kind::repeatable);
   CHECK(kind_of(R"("is_repeatable": false)") == request_kind::keyed_once);
@@ -173,7 +174,8 @@
 TEST_CASE("an unknown kind and contradictory members are refused with the pointer of the route") {
   for (const char* members :
        {R"("kind": "safe")", R"("kind": "")", R"("kind": 3)",
-        R"("kind": "once", "is_repeatable": true)", R"("kind": "download", "is_repeatable": false)",
+        R"("kind": "once", "is_repeatable": true)", R"("kind": "upload", "is_repeatable": true)",
+        R"("kind": "download", "is_repeatable": false)",
         R"("kind": "keyed_once", "needs_idempotency_key": false)"}) {
     CAPTURE(members);
     auto all = base_files();
