Bound what callers make an entry hold by one budget

Callers could make an entry hold any number of connections, heads, bodies of up to 1 MiB, each twice while it was read, and pipelined requests: 160 bodies that stop short took 170 to 321 MB of a process with 64 MB.

proxy::caller_memory, a quarter of memory_mb, is leased before the read that takes the bytes. One address, workspace or route holds half of it at most, connections half, bodies three quarters. When it is used up, idle connections are closed first, then heads and bodies that arrive at less than least_body_rate are refused with 408; what is still without memory gets 503 no_memory at once, not run, with a Retry-After. A body is read into the string that is sent on. An upload without memory is streamed when its length is known. A list of arrival times that grew with every read of one byte is bounded.

--- a/include/kingcupshunt/base/memory_budget.h
+++ b/include/kingcupshunt/base/memory_budget.h
@@ -39,6 +39,9 @@
   /// otherwise it is unchanged.
   bool extend(lease& of, std::size_t bytes);
 
+  /// Lowers `of` to `bytes`.
+  void reduce(lease& of, std::size_t bytes) noexcept;
+
   std::size_t used() const noexcept { return *used_; }
 
 private:
--- a/include/kingcupshunt/proxy/entry_settings.h
+++ b/include/kingcupshunt/proxy/entry_settings.h
@@ -39,6 +39,12 @@
   /// Long heads and the bodies of all answers on their way. Short of it, answers are passed on as
   /// they arrive, and long heads are failures; each answer then holds 36 KiB at most.
   std::size_t max_answer_memory_bytes = std::size_t{64} << 20U;
+  /// What callers make the entry hold: connections, heads, bodies and requests read ahead.
+  std::size_t max_caller_memory_bytes = std::size_t{256} << 20U;
+  /// Part of it for one address, workspace or route.
+  double single_caller_share = 0.5;
+  /// Under memory pressure, heads and bodies that arrive more slowly are dropped.
+  double least_body_rate = 4096;                         ///< bytes per second
   std::size_t max_drain_bytes = std::size_t{256} * 1024; ///< read from the rest of a refused body
   unsigned max_tries = 4;                                ///< tries of one request, including hedges
 
--- a/include/kingcupshunt/proxy/refusal.h
+++ b/include/kingcupshunt/proxy/refusal.h
@@ -23,6 +23,9 @@
   bool is_transient = false; ///< from `hooks::pick`: a later call before the deadline may succeed
 };
 
+/// No memory is left for what the caller sends.
+refusal refused_for_memory();
+
 /// JSON body of a refusal: reason, message, ran, request_id.
 std::string refusal_body(const refusal& r, const std::string& request_id);
 
--- a/include/kingcupshunt/settings/role_settings.h
+++ b/include/kingcupshunt/settings/role_settings.h
@@ -28,6 +28,13 @@
   double retry_slack = 0; ///< further tries beyond the share, of all entries in a window
 };
 
+/// How an entry divides its memory among callers.
+struct caller_memory_settings {
+  double share = 0.25;           ///< of the process's memory, for what callers make it hold
+  double single_share = 0.5;     ///< of that, for one address, workspace or route
+  double least_body_rate = 4096; ///< bytes per second; slower ones are dropped first
+};
+
 /// Settings of one process that plays a single role: entry or control.
 struct role_settings {
   std::string id; ///< IP address, by which the other instances reach it
@@ -45,6 +52,7 @@
   listen_address tunnel;          ///< entry: other entries that cannot reach backend servers
   listen_address metrics;
   std::size_t memory_bytes = 0; ///< the process is killed beyond this; 0: not known
+  caller_memory_settings caller_memory;
   role_bounds bounds;
 };
 
--- a/src/base/memory_budget.cpp
+++ b/src/base/memory_budget.cpp
@@ -50,4 +50,11 @@
   return true;
 }
 
+void memory_budget::reduce(lease& of, std::size_t bytes) noexcept {
+  if (bytes < of.size()) {
+    *used_ -= of.size() - bytes;
+    of.size_ = bytes;
+  }
+}
+
 } // namespace kingcupshunt::base
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -1,7 +1,10 @@
 #include "kingcupshunt/node/entry_node.h"
 
+#include <algorithm>
 #include <utility>
 
+#include <sys/resource.h>
+
 #include "entry_traffic.h"
 #include "kingcupshunt/observe/event_log.h"
 #include "kingcupshunt/proxy/entry_server.h"
@@ -29,6 +32,8 @@
 /// The rest of the process's memory is for connections, their kernel buffers and the server table.
 constexpr std::size_t answer_memory_divisor = 8;
 constexpr std::size_t max_caller_connections = 8000; // of 9,840 file descriptors
+/// Two bodies of the greatest size that is held whole, also in a process with little memory.
+constexpr double least_caller_memory = 4.0 * static_cast<double>(max_replay_bytes);
 constexpr base::seconds max_request_time{120};
 
 peer::handshake_settings handshake_of(const settings::role_settings& s) {
@@ -39,17 +44,30 @@
   return out;
 }
 
+/// One descriptor in six is left for connections to servers and other instances.
+std::size_t most_connections() {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
+    return max_caller_connections;
+  }
+  return std::min<std::size_t>(max_caller_connections, limit.rlim_cur / 6 * 5);
+}
+
 proxy::entry_settings entry_settings_of(const settings::role_settings& s, proxy::wire_names names) {
   proxy::entry_settings out;
   out.address = s.entry.address;
   out.port = s.entry.port;
-  out.max_connections = max_caller_connections;
+  out.max_connections = most_connections();
+  out.single_caller_share = s.caller_memory.single_share;
+  out.least_body_rate = s.caller_memory.least_body_rate;
   out.max_connections_per_caller = max_caller_connections; // callers may share an address
   out.max_replay_bytes = max_replay_bytes;
   out.must_read_chunked_whole = true;
   out.max_stored_answer_bytes = max_replay_bytes;
   if (s.memory_bytes > 0) {
     out.max_answer_memory_bytes = s.memory_bytes / answer_memory_divisor;
+    out.max_caller_memory_bytes = static_cast<std::size_t>(
+        std::max(static_cast<double>(s.memory_bytes) * s.caller_memory.share, least_caller_memory));
   }
   out.total_timeout = max_request_time;
   out.connect_timeout = connect_timeout;
--- a/src/proxy/body_reader.cpp
+++ b/src/proxy/body_reader.cpp
@@ -67,6 +67,9 @@
       parser.put_eof(at_end);
       co_return body_piece{0, at_end ? body_state::malformed : body_state::done};
     }
+    if (ec == boost::asio::error::no_buffer_space) {
+      co_return body_piece{0, body_state::no_memory};
+    }
     if (ec) {
       co_return body_piece{0, stream.is_timed_out() ? body_state::timed_out : body_state::closed};
     }
--- a/src/proxy/body_reader.h
+++ b/src/proxy/body_reader.h
@@ -18,6 +18,7 @@
   done,      ///< the body is complete, `size` may be above 0
   closed,    ///< the connection ended before the end of the body
   timed_out, ///< the expiry of the socket passed
+  no_memory, ///< the read buffer may not grow
   malformed  ///< not a valid body
 };
 
--- a/src/proxy/caller_connection.cpp
+++ b/src/proxy/caller_connection.cpp
@@ -20,6 +20,9 @@
     if (ec == asio::error::would_block) {
       continue;
     }
+    if (ec == asio::error::no_buffer_space) {
+      break; // as when the buffer is full
+    }
     if (ec) {
       caller->mark_disconnected();
       break;
@@ -53,6 +56,30 @@
   changed.notify();
 }
 
+void caller_connection::start_reading(base::time_point now) {
+  is_reading = true;
+  is_stalled = false;
+  sampled_bytes = stream->received();
+  sampled_at = now;
+}
+
+void caller_connection::stop_reading() noexcept {
+  is_reading = false;
+  is_stalled = false;
+  body_bytes = 0;
+}
+
+void caller_connection::sample_rate(base::time_point now, base::duration interval,
+                                    double least_bytes_per_second) {
+  if (!is_reading || now - sampled_at < interval) {
+    return;
+  }
+  const auto bytes = static_cast<double>(stream->received() - sampled_bytes);
+  is_stalled = bytes < least_bytes_per_second * base::to_seconds(now - sampled_at);
+  sampled_bytes = stream->received();
+  sampled_at = now;
+}
+
 void start_watch(const std::shared_ptr<caller_connection>& caller) {
   if (caller->is_watching || caller->is_disconnected) {
     return;
@@ -79,6 +106,8 @@
   auto& stream = *caller.stream;
   error_code ec;
   stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+  stream.buffer().clear();
+  stream.release_buffer();
   stream.expires_at(base::clock::now() + max_time);
   std::size_t drained = 0;
   while (!ec && drained < max_bytes) {
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "body_reader.h"
+#include "caller_memory.h"
 #include "event.h"
 
 namespace kingcupshunt::proxy {
@@ -26,6 +27,7 @@
   std::function<void()> on_disconnect; ///< called on disconnection, when set
   /// The next request may be served before this one is answered.
   bool may_be_followed = false;
+  caller_memory::lease memory; ///< of the head, its copies and what serving the request needs
 };
 
 /// A caller's connection and the requests on it that are not answered yet.
@@ -55,6 +57,23 @@
   bool is_cut = false;             ///< closed within an answer that was cut
   bool is_closing = false;         ///< no further request is read
 
+  caller_memory::lease memory;        ///< of the connection
+  caller_memory::lease buffer_memory; ///< of its read buffer
+  /// On whose behalf the connection holds memory, with the workspace and route of a body.
+  caller_memory::holders holders;
+
+  /// Begins to observe the rate of a head or body; `stop_reading` ends it.
+  void start_reading(base::time_point now);
+  void stop_reading() noexcept;
+  /// Updates `is_stalled` when the last call is at least `interval` ago.
+  void sample_rate(base::time_point now, base::duration interval, double least_bytes_per_second);
+  bool is_reading = false;
+  bool is_dropped = false; ///< its head or body was stalled while memory was short
+  bool is_stalled = false; ///< the head or body arrives more slowly than the least rate
+  std::uint64_t sampled_bytes = 0;
+  base::time_point sampled_at;
+  std::size_t body_bytes = 0; ///< memory of the body that is being read
+
   event changed; ///< notified when bytes have arrived and when the requests above change
   event watch_ended;
   bool is_watching = false;
--- a/src/proxy/entry_server.cpp
+++ b/src/proxy/entry_server.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -27,6 +29,14 @@
 constexpr auto accept_retry_delay = base::milliseconds(100);
 /// How often a stopping server checks whether all connections have ended.
 constexpr auto stop_poll_interval = base::milliseconds(20);
+/// Least memory that a connection needs, with its smallest read buffer.
+constexpr std::size_t connection_bytes = std::size_t{8} * 1024;
+/// Idle connections closed for lack of memory in one pass over all, so that a pass is seldom
+/// needed.
+constexpr std::size_t idle_batch_bytes = 16 * connection_bytes;
+/// Time until the next search for connections to close, after one that found none.
+constexpr auto reclaim_pause = base::milliseconds(100);
+constexpr auto shortage_log_interval = base::seconds(10);
 
 } // namespace
 
@@ -38,6 +48,10 @@
 
   awaitable<void> accept_loop();
   void accepted(tcp::socket socket);
+  std::optional<caller_memory::lease> take_connection_memory(const std::string& address);
+  bool reclaim(std::size_t bytes, const caller_memory::counter& lack);
+  void log_shortage(std::size_t idle, std::size_t stalled, base::time_point now);
+  void observe_memory(base::time_point now);
   awaitable<void> serve(std::shared_ptr<session> s, std::string address);
   awaitable<void> sweep_loop();
   awaitable<void> finish_stop(base::time_point deadline, std::function<void(std::size_t)> done);
@@ -50,9 +64,94 @@
   asio::steady_timer stop_timer;
   std::unordered_set<std::shared_ptr<session>> sessions;
   std::unordered_map<std::string, std::size_t> per_caller;
+  base::time_point next_reclaim{};
+  base::time_point next_shortage_log{};
   bool is_closed = false;
 };
 
+/// Memory for a connection, in place of idle ones when there is not enough. Empty: none is left.
+std::optional<caller_memory::lease>
+entry_server::impl::take_connection_memory(const std::string& address) {
+  caller_memory::lease out(caller_memory::holders{context->memory.counter_of('a', address)});
+  bool is_freeing = false;
+  if (!context->extend(out, connection_bytes, caller_memory::use::connection, &is_freeing)) {
+    if (!is_freeing) {
+      return std::nullopt;
+    }
+    context->memory.force(out, connection_bytes);
+  }
+  return out;
+}
+
+/// Closes the connections that have been idle the longest, then drops stalled heads and bodies,
+/// until `bytes` will be given back. Their memory is free once their coroutines have ended.
+bool entry_server::impl::reclaim(std::size_t bytes, const caller_memory::counter& lack) {
+  const auto now = base::clock::now();
+  if (now < next_reclaim) {
+    return false;
+  }
+  std::vector<std::shared_ptr<session>> idle;
+  std::vector<std::shared_ptr<session>> stalled;
+  for (const auto& s : sessions) {
+    if (!s->holds_for(lack)) {
+      continue;
+    }
+    if (s->is_idle()) {
+      idle.push_back(s);
+    } else if (s->is_stalled()) {
+      stalled.push_back(s);
+    }
+  }
+  std::ranges::sort(idle, {}, &session::idle_since);
+  std::ranges::sort(stalled, std::greater{}, &session::held_bytes);
+  std::size_t freed = 0;
+  std::size_t closed = 0;
+  for (const auto& s : idle) {
+    if (freed >= std::max(bytes, idle_batch_bytes)) {
+      break;
+    }
+    freed += s->held_bytes();
+    ++closed;
+    s->abort();
+  }
+  std::size_t dropped = 0;
+  for (const auto& s : stalled) {
+    if (freed >= bytes) {
+      break;
+    }
+    freed += s->held_bytes();
+    ++dropped;
+    s->drop_stalled();
+  }
+  if (freed == 0) {
+    next_reclaim = now + reclaim_pause;
+  }
+  log_shortage(closed, dropped, now);
+  return freed > 0;
+}
+
+void entry_server::impl::log_shortage(std::size_t idle, std::size_t stalled, base::time_point now) {
+  context->metrics.count("caller_connections_reclaimed_total", "idle", static_cast<double>(idle));
+  context->metrics.count("caller_connections_reclaimed_total", "stalled",
+                         static_cast<double>(stalled));
+  if (now >= next_shortage_log) {
+    next_shortage_log = now + shortage_log_interval;
+    observe::log_warning("caller_memory_short", {{"used", context->memory.used()},
+                                                 {"limit", context->memory.limit()},
+                                                 {"connections", sessions.size()},
+                                                 {"idle_closed", idle},
+                                                 {"stalled_dropped", stalled}});
+  }
+}
+
+void entry_server::impl::observe_memory(base::time_point now) {
+  for (const auto& s : sessions) {
+    s->sample_rate(now);
+  }
+  context->memory.forget_unused();
+  context->metrics.set("caller_memory_bytes", static_cast<double>(context->memory.used()));
+}
+
 awaitable<void> entry_server::impl::accept_loop() {
   const auto self = shared_from_this();
   while (acceptor.is_open()) {
@@ -77,10 +176,12 @@
   const auto& settings = context->settings;
   auto address = remote.address().to_string();
   auto& count = per_caller[address];
-  if (sessions.size() >= settings.max_connections || count >= settings.max_connections_per_caller) {
-    refuse_connection(socket, count >= settings.max_connections_per_caller
-                                  ? "too_many_caller_connections"
-                                  : "too_many_connections");
+  const bool is_caller_full = count >= settings.max_connections_per_caller;
+  const bool is_full = is_caller_full || sessions.size() >= settings.max_connections;
+  auto memory = is_full ? std::nullopt : take_connection_memory(address);
+  if (!memory) {
+    refuse_connection(socket,
+                      is_caller_full ? "too_many_caller_connections" : "too_many_connections");
     if (count == 0) {
       per_caller.erase(address);
     }
@@ -88,7 +189,7 @@
   }
   ++count;
   socket.set_option(tcp::no_delay(true), ec);
-  auto s = std::make_shared<session>(context, std::move(socket), address);
+  auto s = std::make_shared<session>(context, std::move(socket), address, std::move(*memory));
   sessions.insert(s);
   context->metrics.set("caller_connections", static_cast<double>(sessions.size()));
   asio::co_spawn(
@@ -130,7 +231,9 @@
   while (!is_closed) {
     sweep_timer.expires_after(sweep_interval);
     co_await sweep_timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    context->pool.sweep(base::clock::now());
+    const auto now = base::clock::now();
+    context->pool.sweep(now);
+    observe_memory(now);
   }
 }
 
@@ -172,6 +275,11 @@
 entry_server::entry_server(asio::io_context& io, entry_settings settings, hooks decisions,
                            observe::metrics& metrics)
     : impl_(std::make_shared<impl>(io, std::move(settings), std::move(decisions), metrics)) {
+  impl_->context->reclaim = [weak = std::weak_ptr(impl_)](std::size_t bytes,
+                                                          const caller_memory::counter& lack) {
+    const auto self = weak.lock();
+    return self && self->reclaim(bytes, lack);
+  };
   const auto& bound = impl_->context->settings;
   listen_on(impl_->acceptor, bound.address, bound.port);
   asio::co_spawn(
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -23,6 +23,7 @@
   bool must_store = false;   ///< the answer is collected with any framing
   std::string request_id;    ///< echoed by the answer, if configured
   base::time_point deadline;
+  caller_memory::lease memory; ///< of the body
 };
 
 /// One try of a request on one upstream: connects, sends the request and reads the answer's head,
--- a/src/proxy/refusal.cpp
+++ b/src/proxy/refusal.cpp
@@ -16,6 +16,13 @@
   return "unknown";
 }
 
+refusal refused_for_memory() {
+  // About the time in which other requests end and stalled ones are found.
+  constexpr base::milliseconds retry_after{1000};
+  return refusal{503, "no_memory", "the instance has no memory left for the request", ran_state::no,
+                 retry_after};
+}
+
 std::string refusal_body(const refusal& r, const std::string& request_id) {
   const nlohmann::json body = {{"reason", r.reason},
                                {"message", r.message},
--- a/src/proxy/request_answer.cpp
+++ b/src/proxy/request_answer.cpp
@@ -9,14 +9,6 @@
 namespace http = boost::beast::http;
 using health::attempt_end;
 
-namespace {
-
-constexpr std::size_t relay_piece_bytes = std::size_t{64} * 1024;
-/// Size of a piece when the memory for answers is used up.
-constexpr std::size_t least_relay_piece_bytes = std::size_t{4} * 1024;
-
-} // namespace
-
 bool request_handler::must_close() const {
   const auto& parser = request_->parser;
   // The answers to requests behind this one are still to be sent.
--- a/src/proxy/request_body.cpp
+++ b/src/proxy/request_body.cpp
@@ -4,18 +4,19 @@
 
 namespace kingcupshunt::proxy {
 
-namespace {
-
-constexpr std::size_t relay_piece_bytes = std::size_t{64} * 1024;
-
-} // namespace
-
 std::optional<refusal> request_handler::refusal_of_body(body_state state) const {
   switch (state) {
   case body_state::closed:
     return refusal{499, "caller_gone", "the caller closed the connection", ran_state::no,
                    std::nullopt};
+  case body_state::no_memory:
+    return refused_for_memory();
   case body_state::timed_out:
+    if (caller_->is_dropped) {
+      return refusal{408, "body_too_slow",
+                     "the body arrived more slowly than the least rate while memory was short",
+                     ran_state::no, std::nullopt};
+    }
     return refusal{408, "body_timeout", "the body did not arrive before the deadline",
                    ran_state::no, std::nullopt};
   case body_state::malformed:
@@ -32,7 +33,7 @@
     co_await send_continue();
   }
   caller_->stream->expires_at(auth_.deadline);
-  std::string piece(relay_piece_bytes, '\0');
+  std::string piece(body_memory_.size(), '\0');
   bool is_last = false;
   while (!is_last && !must_stop_pump_) {
     is_reading_body_ = true;
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -178,6 +178,7 @@
   if (head_.caller_timeout) {
     auth_.deadline = std::min(auth_.deadline, started_ + *head_.caller_timeout);
   }
+  body_memory_ = caller_memory::lease(body_holders());
   if (base::clock::now() >= auth_.deadline) {
     return not_run(504, "deadline_exceeded", "the deadline passed before the request ran");
   }
@@ -202,16 +203,37 @@
     }
   }
   const bool is_long = length > context_.settings.max_replay_bytes;
-  const bool is_chunked_whole =
-      context_.settings.must_read_chunked_whole || route.kind == config::request_kind::once;
+  const bool is_chunked_whole = context_.settings.must_read_chunked_whole ||
+                                route.kind == config::request_kind::once ||
+                                route.kind == config::request_kind::upload;
   const bool may_be_long = is_long || (is_chunked_ && !is_chunked_whole);
   is_streamed_ = !request_->parser.is_done() && !is_reserving() && may_be_long;
+  if (!is_streamed_ && must_stream_upload()) {
+    is_streamed_ = true;
+    context_.metrics.count("streamed_uploads_total");
+  }
   if (is_chunked_ && !is_streamed_) {
     checked_head_ = head; // the parser adds trailers, which are not checked, to its fields
   }
   return std::nullopt;
 }
 
+/// True for an upload of known length that there is no memory to hold whole.
+bool request_handler::must_stream_upload() {
+  const bool may_stream = auth_.route->kind == config::request_kind::upload &&
+                          head_.content_length && !request_->parser.is_done();
+  const auto length = head_.content_length.value_or(0);
+  return may_stream && !context_.extend(body_memory_, length, caller_memory::use::body);
+}
+
+/// Before anything is sent to a server.
+std::optional<refusal> request_handler::lease_relay_piece() {
+  const bool is_leased =
+      context_.extend(body_memory_, relay_piece_bytes, caller_memory::use::body) ||
+      context_.extend(body_memory_, least_relay_piece_bytes, caller_memory::use::body);
+  return is_leased ? std::nullopt : std::optional(refused_for_memory());
+}
+
 /// A request that may not be repeated, or whose body is read here, is served alone on its
 /// connection: what is behind a body or a closed connection has then certainly not run.
 awaitable<std::optional<refusal>> request_handler::wait_for_earlier_requests() {
@@ -287,6 +309,11 @@
   if (!has_time_before_stop()) {
     co_return refused_by_stop();
   }
+  if (is_streamed_) {
+    if (auto refused = lease_relay_piece()) {
+      co_return refused;
+    }
+  }
   const bool is_read_first = !is_streamed_ && !is_waiting_for_continue_;
   if (is_read_first) {
     // The body is read before a turn is taken, so that a slow caller does not occupy one.
@@ -322,29 +349,94 @@
   co_await caller_->stream->write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
+caller_memory::holders request_handler::body_holders() const {
+  auto out = caller_->holders;
+  if (auth_.workspace) {
+    out.push_back(context_.memory.counter_of('w', auth_.workspace->name));
+  }
+  out.push_back(context_.memory.counter_of('r', auth_.route->name));
+  return out;
+}
+
+/// Raises the memory of the body. When there is not enough, waits for a moment for the memory of
+/// stalled requests, if there are any.
+awaitable<bool> request_handler::lease_body(std::size_t bytes) {
+  constexpr int max_waits = 10;
+  constexpr base::milliseconds wait{10};
+  bool is_freeing = false;
+  for (int i = 0; i <= max_waits; ++i) {
+    if (context_.extend(body_memory_, bytes, caller_memory::use::body,
+                        i == 0 ? &is_freeing : nullptr)) {
+      co_return true;
+    }
+    if (!is_freeing || caller_->is_disconnected) {
+      break;
+    }
+    co_await wake_->wait_until(base::clock::now() + wait);
+  }
+  co_return false;
+}
+
 awaitable<std::optional<refusal>> request_handler::read_whole_body() {
-  auto& parser = request_->parser;
-  std::string piece;
-  if (parser.is_done()) {
+  if (request_->parser.is_done()) {
     co_return std::nullopt;
   }
   caller_->stream->expires_at(auth_.deadline);
+  const auto own = std::exchange(caller_->holders, body_holders());
+  caller_->start_reading(base::clock::now());
+  auto refused = co_await read_leased_body();
+  caller_->stop_reading();
+  caller_->holders = own;
+  caller_->stream->release_buffer();
+  if (refused) {
+    std::string().swap(body_); // an assignment would keep the memory
+    context_.memory.shrink(body_memory_, 0);
+    co_return refused;
+  }
+  caller_->stream->expires_at(base::time_point::max());
+  co_return std::nullopt;
+}
+
+/// Reads into body_ itself, since a copy would double its memory.
+awaitable<std::optional<refusal>> request_handler::read_leased_body() {
+  constexpr std::size_t first_chunked_bytes = std::size_t{16} * 1024;
+  auto& parser = request_->parser;
+  const auto most = context_.settings.max_replay_bytes;
+  std::size_t size = 0;
   while (!parser.is_done()) {
-    piece.resize(head_.content_length ? std::max<std::uint64_t>(*head_.content_length, 1) : 16384);
-    const auto got = co_await read_body(*caller_->stream, parser, piece.data(), piece.size());
-    body_.append(piece, 0, got.size);
+    if (size == body_.size()) {
+      auto next = std::max(2 * size, first_chunked_bytes);
+      if (head_.content_length) {
+        next = std::max<std::size_t>(*head_.content_length, 1);
+      } else if (next > most) {
+        next = most + 1; // one byte more shows that the body is too large
+      }
+      const bool is_leased = co_await lease_body(next);
+      if (!is_leased) {
+        co_return refused_for_memory();
+      }
+      caller_->body_bytes = next;
+      body_.resize(next);
+    }
+    const auto got =
+        co_await read_body(*caller_->stream, parser, body_.data() + size, body_.size() - size);
+    size += got.size;
     if (auto refused = refusal_of_body(got.state)) {
       co_return refused;
     }
-    if (body_.size() > auth_.route->body_limit) {
+    if (size > auth_.route->body_limit) {
       co_return not_run(413, "body_too_large", "the body is larger than the route allows");
     }
-    if (body_.size() > context_.settings.max_replay_bytes) {
+    if (size > most) {
       co_return not_run(413, "non_repeatable_body_too_large",
                         "the body of a request that may not be repeated is at most 64 KiB");
     }
   }
-  caller_->stream->expires_at(base::time_point::max());
+  body_.resize(size);
+  if (!head_.content_length) {
+    body_.shrink_to_fit();
+    context_.memory.shrink(body_memory_, size);
+  }
   co_return std::nullopt;
 }
 
@@ -377,6 +469,7 @@
   fingerprint_ = base::hash64(identity);
   if (!is_streamed_) {
     upstream_request_->body = std::move(body_);
+    upstream_request_->memory = std::move(body_memory_);
   }
 }
 
--- a/src/proxy/request_handler.h
+++ b/src/proxy/request_handler.h
@@ -11,6 +11,10 @@
 
 namespace kingcupshunt::proxy {
 
+/// Largest piece of a streamed body, and its size when memory is short.
+inline constexpr std::size_t relay_piece_bytes = std::size_t{64} * 1024;
+inline constexpr std::size_t least_relay_piece_bytes = std::size_t{4} * 1024;
+
 /// Serves one request whose head has been parsed: admission, tries and the answer.
 class request_handler : public std::enable_shared_from_this<request_handler> {
 public:
@@ -48,6 +52,11 @@
   awaitable<std::optional<refusal>> reserve();
   awaitable<bool> plan_try();
   awaitable<std::optional<refusal>> read_whole_body();
+  awaitable<std::optional<refusal>> read_leased_body();
+  awaitable<bool> lease_body(std::size_t bytes);
+  bool must_stream_upload();
+  caller_memory::holders body_holders() const;
+  std::optional<refusal> lease_relay_piece();
   awaitable<void> send_continue();
   std::string workspace_name() const;
   /// True when the request may run at most once for its idempotency key, over all attempts of the
@@ -106,6 +115,7 @@
   std::optional<request_header> checked_head_; ///< as checked; set when trailers may follow
   authorized_request auth_;
   std::shared_ptr<upstream_request> upstream_request_;
+  caller_memory::lease body_memory_; ///< of body_, or of a piece of a streamed body
   std::string body_;
   std::uint64_t fingerprint_ = 0;
   bool is_head_method_ = false;
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -1,5 +1,7 @@
 #include "session.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -11,16 +13,40 @@
 
 namespace {
 
+/// A read buffer of a caller grows to this much, so that many of them fit into the memory.
+constexpr std::size_t max_caller_read_bytes = std::size_t{16} * 1024;
+/// What serving one request needs besides its head: its handler, tries and coroutines.
+constexpr std::size_t request_bytes = std::size_t{8} * 1024;
+/// A head is held as received, as parsed fields and as the head for the server.
+constexpr std::size_t head_copies = 3;
+constexpr base::milliseconds rate_interval{1000};
+
 refusal refused_head(unsigned status, const char* reason, const char* message) {
   return refusal{status, reason, message, ran_state::no, std::nullopt};
 }
 
 } // namespace
 
-session::session(std::shared_ptr<entry_context> context, tcp::socket socket, std::string address)
+session::session(std::shared_ptr<entry_context> context, tcp::socket socket, std::string address,
+                 caller_memory::lease memory)
     : context_(std::move(context)),
       caller_(std::make_shared<caller_connection>(std::move(socket), std::move(address),
-                                                  context_->settings.max_read_ahead_bytes)) {}
+                                                  context_->settings.max_read_ahead_bytes)) {
+  caller_->holders = {context_->memory.counter_of('a', caller_->address)};
+  caller_->memory = std::move(memory);
+  caller_->buffer_memory = caller_memory::lease(caller_->holders);
+  caller_->stream->limit_reads(max_caller_read_bytes);
+  // The stream belongs to the connection and reads for it only.
+  caller_->stream->set_growth_check([context = context_, caller = caller_.get()](std::size_t n) {
+    if (n == 0) {
+      context->memory.shrink(caller->buffer_memory, 0);
+    }
+    // The memory of the connection covers the smallest buffer.
+    return n <= timed_socket::min_read_bytes ||
+           context->extend(caller->buffer_memory, n - timed_socket::min_read_bytes,
+                           caller_memory::use::head);
+  });
+}
 
 awaitable<void> session::run() {
   const auto& settings = context_->settings;
@@ -61,7 +87,8 @@
   while (is_serving() && !caller_->requests.empty()) {
     const auto size =
         may_serve_next() ? find_head_end(caller_->stream->buffered(), 0) : std::string_view::npos;
-    if (size <= context_->settings.max_head_bytes) {
+    if (size <= context_->settings.max_head_bytes &&
+        take_head_memory(size, caller_memory::use::body)) {
       const auto refused = parse(size);
       start_watch(caller_); // it ends when the buffer is full
       if (!refused) {
@@ -118,6 +145,24 @@
   }
 }
 
+bool session::holds_for(const caller_memory::counter& of) const {
+  return !of || std::ranges::find(caller_->holders, of) != caller_->holders.end();
+}
+
+std::size_t session::held_bytes() const noexcept {
+  return caller_->memory.size() + caller_->buffer_memory.size() + caller_->body_bytes;
+}
+
+void session::sample_rate(base::time_point now) {
+  caller_->sample_rate(now, rate_interval, context_->settings.least_body_rate);
+}
+
+void session::drop_stalled() {
+  caller_->stop_reading();
+  caller_->is_dropped = true;
+  caller_->stream->expires_at(base::clock::now());
+}
+
 void session::wake() {
   for (const auto& r : caller_->requests) {
     r->wake->notify();
@@ -141,6 +186,7 @@
     co_return true;
   }
   is_idle_ = true;
+  idle_since_ = base::clock::now();
   const auto ec = co_await caller_->stream->read_some();
   is_idle_ = false;
   caller_->is_disconnected = caller_->is_disconnected || ec.failed();
@@ -151,6 +197,7 @@
 awaitable<bool> session::read_head() {
   std::size_t size = 0;
   auto refused = co_await read_head_bytes(size);
+  caller_->stop_reading();
   if (!refused && caller_->is_disconnected) {
     co_return false;
   }
@@ -169,7 +216,9 @@
 awaitable<std::optional<refusal>> session::read_head_bytes(std::size_t& size) {
   auto& stream = *caller_->stream;
   const auto& settings = context_->settings;
-  stream.expires_at(base::clock::now() + settings.head_timeout);
+  const auto began = base::clock::now();
+  stream.expires_at(began + settings.head_timeout);
+  caller_->start_reading(began);
   std::size_t searched = 0;
   for (;;) {
     size = find_head_end(stream.buffered(), searched);
@@ -185,6 +234,9 @@
     if (ec && stream.is_timed_out()) {
       co_return refused_head(408, "head_timeout", "the request's head did not arrive in time");
     }
+    if (ec == boost::asio::error::no_buffer_space) {
+      co_return refused_for_memory();
+    }
     if (ec) {
       caller_->is_disconnected = true;
       co_return std::nullopt;
@@ -192,7 +244,18 @@
   }
 }
 
+/// Takes the memory of the next request, whose head has `size` bytes.
+bool session::take_head_memory(std::size_t size, caller_memory::use purpose) {
+  if (next_memory_.size() == 0) {
+    next_memory_ = caller_memory::lease(caller_->holders);
+  }
+  return context_->extend(next_memory_, request_bytes + head_copies * size, purpose);
+}
+
 std::optional<refusal> session::parse(std::size_t size) {
+  if (!take_head_memory(size, caller_memory::use::head)) {
+    return refused_for_memory();
+  }
   auto& stream = *caller_->stream;
   const auto head = stream.buffered().substr(0, size);
   if (const char* problem = check_raw_head(head, context_->settings.max_header_fields)) {
@@ -205,6 +268,7 @@
   if (const auto ec = parse_head(stream, request->parser, size)) {
     return bad_request("bad_head", "the head is not valid HTTP: " + ec.message());
   }
+  request->memory = std::exchange(next_memory_, {});
   next_ = std::move(request);
   return std::nullopt;
 }
--- a/src/proxy/timed_socket.cpp
+++ b/src/proxy/timed_socket.cpp
@@ -23,6 +23,10 @@
                   : asio::error::make_error_code(asio::error::eof);
 }
 
+/// Arrivals of a buffer that are told apart; a sender of single bytes would otherwise make the list
+/// larger than the buffer.
+constexpr std::size_t max_arrivals = 32;
+
 error_code timed_out_error() {
   return asio::error::make_error_code(asio::error::timed_out);
 }
@@ -93,7 +97,11 @@
       co_return ec;
     }
   }
-  const auto space = buffer_.prepare(next_read_);
+  const auto wanted = readable(next_read_);
+  if (wanted == 0) {
+    co_return asio::error::make_error_code(asio::error::no_buffer_space);
+  }
+  const auto space = buffer_.prepare(wanted);
   const auto n =
       co_await socket_.async_read_some(space, asio::redirect_error(asio::use_awaitable, ec));
   buffer_.commit(n);
@@ -107,8 +115,23 @@
   co_return ec;
 }
 
+/// Returns how many of `wanted` bytes may be read into the buffer.
+std::size_t timed_socket::readable(std::size_t wanted) {
+  const auto size = buffer_.size();
+  const auto room = buffer_.capacity() - size;
+  if (!growth_check_ || wanted <= room) {
+    return wanted;
+  }
+  // As flat_buffer grows.
+  return growth_check_(std::max(2 * size, size + wanted)) ? wanted : room;
+}
+
 error_code timed_socket::read_available() {
-  const auto space = buffer_.prepare(min_read_bytes);
+  const auto wanted = readable(min_read_bytes);
+  if (wanted == 0) {
+    return asio::error::make_error_code(asio::error::no_buffer_space);
+  }
+  const auto space = buffer_.prepare(wanted);
   const auto got = ::recv(socket_.native_handle(), space.data(), space.size(), MSG_DONTWAIT);
   if (got > 0) {
     buffer_.commit(static_cast<std::size_t>(got));
@@ -125,6 +148,10 @@
   const auto consumed = received_ - (buffer_.size() - n);
   std::erase_if(arrivals_, [&](const arrival& a) { return a.end <= consumed; });
   received_ += n;
+  if (arrivals_.size() == max_arrivals) {
+    arrivals_.back() = {received_, base::clock::now()};
+    return;
+  }
   arrivals_.push_back({received_, base::clock::now()});
 }
 
@@ -154,6 +181,9 @@
   if (buffer_.size() == 0) {
     buffer_ = boost::beast::flat_buffer();
     next_read_ = min_read_bytes;
+    if (growth_check_) {
+      growth_check_(0);
+    }
   }
 }
 
--- a/src/proxy/timed_socket.h
+++ b/src/proxy/timed_socket.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string_view>
 #include <vector>
@@ -63,6 +64,17 @@
   /// reader that takes all of them before the next read, this bounds the buffer.
   void limit_reads(std::size_t bytes);
 
+  /// Sets a function that is called before the read buffer grows to a number of bytes, and with 0
+  /// when it is freed. While it returns false, reads take what fits into the buffer and fail with
+  /// no_buffer_space when it is full.
+  void set_growth_check(std::function<bool(std::size_t capacity)> check) {
+    growth_check_ = std::move(check);
+  }
+
+  std::uint64_t received() const noexcept {
+    return received_;
+  } ///< bytes put into the buffer so far
+
   /// Waits until bytes or the end of the stream can be read.
   awaitable<error_code> wait_readable();
 
@@ -89,6 +101,7 @@
 
   void arm();
   void note_arrival(std::size_t n);
+  std::size_t readable(std::size_t wanted);
 
   tcp::socket socket_;
   boost::beast::flat_buffer buffer_;
@@ -98,6 +111,7 @@
   std::uint64_t received_ = 0;    ///< bytes put into the buffer so far
   std::vector<arrival> arrivals_; ///< of the bytes in the buffer, oldest first
   std::size_t written_ = 0;
+  std::function<bool(std::size_t)> growth_check_;
   std::size_t next_read_ = min_read_bytes;
   std::size_t read_limit_ = max_read_bytes;
   bool is_timed_out_ = false;
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -102,11 +102,13 @@
   }
 }
 
-// A configuration with downloads was refused whole, so that nothing was served.
+// Configurations with downloads, and later with uploads, were refused whole, so that nothing was
+// served.
 TEST_CASE("kinds of requests are translated, an unknown one is refused with its route") {
   const std::pair<const char*, config::request_kind> kinds[] = {
       {"safe", config::request_kind::repeatable},
       {"unsafe", config::request_kind::once},
+      {"upload", config::request_kind::upload},
       {"download", config::request_kind::download}};
   for (const auto& [theirs, ours] : kinds) {
     auto all = configuration();
@@ -122,7 +124,8 @@
   const auto refused = parse_document(all.dump());
   REQUIRE(!refused);
   CHECK(refused.error().message.find("r-1") != std::string::npos);
-  CHECK(refused.error().message.find("safe, unsafe or download") != std::string::npos);
+  CHECK(refused.error().message.find("\"stream\", allowed is safe, unsafe, download or upload") !=
+        std::string::npos);
 }
 
 TEST_CASE("a key that belongs to two tenants is refused") {
@@ -178,6 +181,14 @@
   CHECK(base::to_ms(s.value().bounds.retry_window) == 8000);
   CHECK(s.value().bounds.retry_slack == 58);
   CHECK(s.value().memory_bytes == std::size_t{400} << 20U);
+  CHECK(s.value().caller_memory.share == 0.25);
+  auto divided = all;
+  divided["limits"]["caller_memory_share"] = 0.5;
+  divided["limits"]["least_body_rate"] = 100;
+  CHECK(parse_settings(divided.dump()).value().caller_memory.share == 0.5);
+  CHECK(parse_settings(divided.dump()).value().caller_memory.least_body_rate == 100);
+  divided["limits"]["single_caller_share"] = 0;
+  CHECK(!parse_settings(divided.dump()));
   for (const auto* name : {"ip", "zone", "region", "internal_port_range", "seeds"}) {
     auto without = all;
     without.erase(name);
