--- a/include/kingcupshunt/proxy/refusal.h
+++ b/include/kingcupshunt/proxy/refusal.h
@@ -26,6 +26,9 @@
   bool is_general = false;
 };
 
+/// No memory is left for what the caller sends.
+refusal refused_for_memory();
+
 /// JSON body of a refusal: reason, message, ran, request_id.
 std::string refusal_body(const refusal& r, const std::string& request_id);
 
