--- a/include/kingcupshunt/proxy/head_checks.h
+++ b/include/kingcupshunt/proxy/head_checks.h
@@ -30,7 +30,7 @@
 /// Checks a parsed request head: version, method, Host, framing and upgrades.
 std::optional<refusal> check_request(const request_header& head);
 
-/// Checks the framing of an upstream's answer. Returns an error message, or nullptr.
+/// Checks the status and framing of an upstream's answer. Returns an error message, or nullptr.
 /// `is_bodyless` is true for the answer to HEAD. `may_end_with_connection` allows a body without
 /// length; truncation of such a body by an orderly close cannot be detected.
 const char* check_answer(const response_header& head, bool is_bodyless,
