Fix findings of the reviews of caller memory and paths

Cause: found by reading. (1) Connections were refused, and idle ones closed, once bodies held half of the memory of callers. (2) A caller at its own share paused the search for memory for everybody. (3) An idle connection with a request in its socket could be closed. (4) Without a path, probes returned to servers known to be down, and an answer on a connection of before did not end the state. (5) A request refused by a full server waited for its deadline though no server could be reached.

Change: connections are counted by themselves; the pause is kept for each counter; connections with pending input stay; addresses of failed probes stay known, an answer ends the state; a refusal that holds for every server ends the wait.

(3) and (5) have no test of their own.

--- a/src/balance/path_monitor.cpp
+++ b/src/balance/path_monitor.cpp
@@ -50,7 +50,14 @@
 void path_monitor::enter(path_state state) {
   state_ = state;
   evidence_.clear();
-  clear_failures();
+  if (state == path_state::none) {
+    // The addresses stay known as failed, so that probes go to others.
+    failed_tunnels_ = 0;
+    is_confirming_ = false;
+    has_probe_confirmed_ = false;
+  } else {
+    clear_failures();
+  }
 }
 
 void path_monitor::clear_failures() {
@@ -99,9 +106,6 @@
 }
 
 void path_monitor::direct_failed(std::string_view address, base::time_point now) {
-  if (state_ == path_state::none) {
-    return;
-  }
   if (state_ == path_state::tunnelled) {
     evidence_.clear();
   }
@@ -153,6 +157,10 @@
 
 void path_monitor::answered(base::time_point /*now*/) {
   clear_failures();
+  if (state_ == path_state::none) {
+    // It may have come through a tunnel; the next probes tell.
+    enter(has_tunnels_ ? path_state::tunnelled : path_state::direct);
+  }
 }
 
 } // namespace kingcupshunt::balance
--- a/src/proxy/caller_memory.cpp
+++ b/src/proxy/caller_memory.cpp
@@ -26,16 +26,23 @@
       single_limit_(static_cast<std::size_t>(static_cast<double>(limit_bytes) * single_share)),
       budget_(std::numeric_limits<std::size_t>::max()) {}
 
-std::size_t caller_memory::part_of(use purpose) const noexcept {
+bool caller_memory::has_room(std::size_t more, use purpose) const noexcept {
+  const auto fits = [more](std::size_t used, std::size_t limit) {
+    return used <= limit && more <= limit - used;
+  };
   switch (purpose) {
   case use::connection:
-    return limit_ / 2;
+    return fits(*connections_, limit_ / 2) && fits(budget_.used(), limit_);
   case use::body:
-    return limit_ / 4 * 3;
+    return fits(budget_.used(), limit_ / 4 * 3);
   case use::head:
     break;
   }
-  return limit_;
+  return fits(budget_.used(), limit_);
+}
+
+caller_memory::lease caller_memory::connection_lease(std::string_view address) {
+  return lease(holders{counter_of('a', address), connections_});
 }
 
 caller_memory::counter caller_memory::counter_of(char kind, std::string_view name) {
@@ -53,18 +60,16 @@
     return true;
   }
   const auto more = bytes - of.size();
-  const auto has_room = [more](std::size_t used, std::size_t limit) {
-    return used <= limit && more <= limit - used;
-  };
   for (const auto& it : of.holders_) {
-    if (!has_room(*it, single_limit_)) {
+    const bool has_share = it == connections_ || *it + more <= single_limit_;
+    if (!has_share) {
       if (lack != nullptr) {
         *lack = it;
       }
       return false;
     }
   }
-  if (!has_room(budget_.used(), part_of(purpose))) {
+  if (!has_room(more, purpose)) {
     if (lack != nullptr) {
       lack->reset();
     }
--- a/src/proxy/caller_memory.h
+++ b/src/proxy/caller_memory.h
@@ -16,12 +16,12 @@
 /// route. Not thread-safe.
 class caller_memory {
 public:
-  /// Each use may take the budget up to another part, so that bodies and further pipelined requests
-  /// leave room for connections that send a first head.
+  /// Bodies and further pipelined requests leave room for connections that send a first head, and
+  /// connections leave room for bodies.
   enum class use : std::uint8_t {
-    connection, ///< up to half
-    body,       ///< up to three quarters
-    head        ///< all of it
+    connection, ///< while all connections together hold up to half of the budget
+    body,       ///< while the budget is used up to three quarters
+    head        ///< while anything is left
   };
 
   using counter = std::shared_ptr<std::size_t>;
@@ -49,6 +49,9 @@
     holders holders_;
   };
 
+  /// An empty lease for a connection of `address`.
+  lease connection_lease(std::string_view address);
+
   /// The counter of an address, workspace or route; `kind` tells these apart.
   counter counter_of(char kind, std::string_view name);
 
@@ -69,11 +72,12 @@
   std::size_t limit() const noexcept { return limit_; }
 
 private:
-  std::size_t part_of(use purpose) const noexcept;
+  bool has_room(std::size_t more, use purpose) const noexcept;
 
   std::size_t limit_;
   std::size_t single_limit_;
   base::memory_budget budget_;
+  counter connections_ = std::make_shared<std::size_t>(0); ///< held by all connections
   std::unordered_map<std::string, std::weak_ptr<std::size_t>> counters_;
 };
 
--- a/src/proxy/entry_server.cpp
+++ b/src/proxy/entry_server.cpp
@@ -64,7 +64,8 @@
   asio::steady_timer stop_timer;
   std::unordered_set<std::shared_ptr<session>> sessions;
   std::unordered_map<std::string, std::size_t> per_caller;
-  base::time_point next_reclaim{};
+  /// When memory is searched again for a counter for which none was found; null: the budget.
+  std::unordered_map<const std::size_t*, base::time_point> next_reclaims;
   base::time_point next_shortage_log{};
   bool is_closed = false;
 };
@@ -72,7 +73,7 @@
 /// Memory for a connection, in place of idle ones when there is not enough. Empty: none is left.
 std::optional<caller_memory::lease>
 entry_server::impl::take_connection_memory(const std::string& address) {
-  caller_memory::lease out(caller_memory::holders{context->memory.counter_of('a', address)});
+  auto out = context->memory.connection_lease(address);
   bool is_freeing = false;
   if (!context->extend(out, connection_bytes, caller_memory::use::connection, &is_freeing)) {
     if (!is_freeing) {
@@ -87,7 +88,10 @@
 /// until `bytes` will be given back. Their memory is free once their coroutines have ended.
 bool entry_server::impl::reclaim(std::size_t bytes, const caller_memory::counter& lack) {
   const auto now = base::clock::now();
-  if (now < next_reclaim) {
+  // Without a pause for each counter, an address or route at its limit would keep others from
+  // memory.
+  std::erase_if(next_reclaims, [now](const auto& item) { return now >= item.second; });
+  if (next_reclaims.contains(lack.get())) {
     return false;
   }
   std::vector<std::shared_ptr<session>> idle;
@@ -97,7 +101,9 @@
       continue;
     }
     if (s->is_idle()) {
-      idle.push_back(s);
+      if (!s->has_pending_input()) {
+        idle.push_back(s);
+      }
     } else if (s->is_stalled()) {
       stalled.push_back(s);
     }
@@ -124,7 +130,7 @@
     s->drop_stalled();
   }
   if (freed == 0) {
-    next_reclaim = now + reclaim_pause;
+    next_reclaims[lack.get()] = now + reclaim_pause;
   }
   log_shortage(closed, dropped, now);
   return freed > 0;
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -211,6 +211,10 @@
       context_.metrics.count_retry("shed");
       co_return true;
     }
+    // Waiting helps where servers are full, not where no server can be reached.
+    if (failure_ && failure_->is_general) {
+      co_return false;
+    }
     const auto next = base::clock::now() + full_server_retry_delay;
     if (!is_planned || next >= auth_.deadline || caller_->is_disconnected ||
         !has_time_before_stop()) {
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -24,6 +24,8 @@
 
   /// True when the connection waits for the first byte of a request.
   bool is_idle() const noexcept { return is_idle_ && !caller_->is_aborted; }
+  /// True when bytes have arrived that are not read yet, such as a request on an idle connection.
+  bool has_pending_input() { return caller_->stream->has_pending_input(); }
   base::time_point idle_since() const noexcept { return idle_since_; }
   bool is_stalled() const noexcept { return caller_->is_stalled; }
   /// True when memory is held on behalf of `of`; null: of anyone.
--- a/tests/balance/path_monitor_test.cpp
+++ b/tests/balance/path_monitor_test.cpp
@@ -86,3 +86,38 @@
   path.direct_connected("s1", now += step);
   CHECK(path.state() == path_state::direct);
 }
+
+namespace {
+
+path_monitor lost_monitor(base::time_point& now) {
+  path_monitor out;
+  for (const auto* address : {"10.0.0.1", "10.0.0.2", "10.0.0.3"}) {
+    out.direct_failed(address, now += step);
+  }
+  REQUIRE(out.next_probe(now += step));
+  out.probe_failed("10.0.0.4", now += step);
+  REQUIRE(out.state() == path_state::none);
+  return out;
+}
+
+} // namespace
+
+// Guards against refusals that go on though a server answers on a connection of before.
+TEST_CASE("an answer ends the state without a path") {
+  auto now = start;
+  auto path = lost_monitor(now);
+  path.answered(now += step);
+  CHECK(path.state() == path_state::direct);
+}
+
+// Guards against probes that return to servers which are down while others are reachable.
+TEST_CASE("without a path, addresses of failed probes stay known until they are old") {
+  auto now = start;
+  auto path = lost_monitor(now);
+  CHECK(path.has_failed("10.0.0.1"));
+  CHECK(path.has_failed("10.0.0.4"));
+  path.probe_failed("10.0.0.5", now += step);
+  CHECK(path.has_failed("10.0.0.5"));
+  CHECK(path.next_probe(now += base::seconds(4)));
+  CHECK(!path.has_failed("10.0.0.1"));
+}
--- a/tests/proxy/caller_memory_test.cpp
+++ b/tests/proxy/caller_memory_test.cpp
@@ -72,6 +72,28 @@
   CHECK(!memory.extend(heads, 251, caller_memory::use::head));
 }
 
+// Guards against new callers that are refused, and idle ones closed, because others send bodies.
+TEST_CASE("bodies up to their part leave room for new connections") {
+  caller_memory memory(1000, 1);
+  caller_memory::lease bodies;
+  CHECK(memory.extend(bodies, 750, caller_memory::use::body));
+  auto connection = memory.connection_lease("10.0.0.1");
+  CHECK(memory.extend(connection, 250, caller_memory::use::connection));
+  CHECK(!memory.extend(connection, 251, caller_memory::use::connection));
+}
+
+TEST_CASE("connections of many addresses hold half of the memory together") {
+  caller_memory memory(1000, 0.3);
+  auto first = memory.connection_lease("10.0.0.1");
+  auto second = memory.connection_lease("10.0.0.2");
+  CHECK(memory.extend(first, 300, caller_memory::use::connection));
+  CHECK(!memory.extend(first, 301, caller_memory::use::connection)); // the share of one address
+  CHECK(memory.extend(second, 200, caller_memory::use::connection));
+  CHECK(!memory.extend(second, 201, caller_memory::use::connection));
+  first = {};
+  CHECK(memory.extend(second, 300, caller_memory::use::connection));
+}
+
 TEST_CASE("memory is given back to the budget and to each holder") {
   caller_memory memory(1000, 1);
   const auto address = memory.counter_of('a', "10.0.0.1");
