Restart the delay of cold permits after a pause or isolation

A relay that was paused or isolated for more than its retention of 10 s forgot all entries. When it returned, it issued the whole rate to the first entry that reported, beside the part of the other relay, since the initial delay ran only once.

Start the delay again after each loss of the majority, and after a gap of more than 2.5 s between two calls of issue.

--- a/include/kingcupshunt/fleet/cold_relay.h
+++ b/include/kingcupshunt/fleet/cold_relay.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -78,7 +79,8 @@
   std::map<std::string, last_report, std::less<>> reports_; ///< last one of each entry
   std::vector<std::string> news_;
   std::vector<std::string> to_share_;
-  base::time_point started_at_{}; ///< first call of `issue`
+  std::optional<base::time_point> called_at_; ///< last call of `issue`
+  base::time_point issue_from_{};             ///< no permits are issued before
 };
 
 } // namespace kingcupshunt::fleet
--- a/src/fleet/cold_relay.cpp
+++ b/src/fleet/cold_relay.cpp
@@ -13,8 +13,8 @@
 constexpr base::seconds entry_retention{10};
 /// An entry that does not report for this long gets no permits. Entries report each second.
 constexpr base::milliseconds report_timeout{2500};
-/// A control instance that starts hears from all entries within this time, by whose number it
-/// divides: they connect again after at most 2 s and ask each 0.5 s.
+/// A control instance that starts, or was paused or isolated, hears from all entries within this
+/// time, by whose number it divides: they connect again after at most 2 s and ask each 0.5 s.
 constexpr base::milliseconds start_delay{2500};
 /// A smaller change of the end of a server's cold time is not sent on.
 constexpr base::milliseconds news_tolerance{250};
@@ -115,15 +115,17 @@
 }
 
 std::map<std::string, permit_grant> cold_relay::issue(bool has_majority, base::time_point now) {
-  if (started_at_ == base::time_point{}) {
-    started_at_ = now;
+  // After a loss of the majority or a pause, entries that still run may have been forgotten.
+  if (!has_majority || !called_at_ || now - *called_at_ > report_timeout) {
+    issue_from_ = now + start_delay;
   }
+  called_at_ = now;
   expire(now);
   std::map<std::string, permit_grant> out;
   if (servers_.empty()) {
     return out;
   }
-  const bool may_issue = has_majority && now - started_at_ >= start_delay;
+  const bool may_issue = now >= issue_from_;
   const auto recipients = [&](std::string_view server) {
     return may_issue ? recipients_of(server) : rates::permit_recipients{};
   };
--- a/tests/fleet/cold_servers_test.cpp
+++ b/tests/fleet/cold_servers_test.cpp
@@ -287,6 +287,52 @@
   CHECK(static_cast<double>(to_new) >= 0.5 * 8 * cold_rate - 2);
 }
 
+// Guards against a relay that forgets all entries while it is paused or isolated, and gives the
+// whole rate to the first one that returns, while another relay still issues its part.
+TEST_CASE("a relay that was alone for 12 s hears from all entries before it issues permits again") {
+  for (const bool is_paused : {false, true}) {
+    CAPTURE(is_paused);
+    cold_relay relay{{}};
+    auto now = base::time_point{base::seconds(10)};
+    load_report report;
+    report.is_full = true;
+    report.stamp = 1;
+    report.cold.push_back({"s", 60'000, cold_rate, "dc0", true});
+    std::size_t issued = 0;
+    // Only the first entry reports here; the others report to another relay.
+    const auto step = [&](int entries, bool has_majority) {
+      now += base::milliseconds(50);
+      for (int i = 0; i < entries; ++i) {
+        relay.note_entry("e" + std::to_string(i), "dc0", now);
+      }
+      if (entries > 0) {
+        relay.on_report("e0", report, now);
+      }
+      issued += relay.issue(has_majority, now).size();
+    };
+    for (int i = 0; i < 200; ++i) {
+      step(12, true);
+    }
+    CHECK(issued >= 1);
+    if (is_paused) {
+      now += base::seconds(12);
+    } else {
+      for (int i = 0; i < 240; ++i) {
+        step(0, false);
+      }
+    }
+    issued = 0;
+    for (int i = 0; i < 100; ++i) { // the entries return within 2 s
+      step(std::min(1 + i / 4, 12), true);
+    }
+    CHECK(static_cast<double>(issued) <= cold_rate / 12 * (2.5 + 0.1) + 1); // 0.1 s may accrue
+    for (int i = 0; i < 200; ++i) {
+      step(12, true);
+    }
+    CHECK(static_cast<double>(issued) >= cold_rate / 12 * 10);
+  }
+}
+
 // Guards against a cold period that messages between relays and entries keep alive.
 TEST_CASE("a server that was cold once is not cold for longer through late messages") {
   cold_fleet f(three_controls, 6, 1);
