Repeat what is left of a cold time to entries without own answers

A note at second hand counts for at most the service's warm-up time, and the relay passed on only later ends. A server that was cold for 10 s with a warm-up time of 3 s was therefore taken for warm after 3 s by all entries without an answer of their own.

The relay repeats the remaining time once a second while first-hand reports are at most 2.5 s old, to its entries and to the other relays. A note of another relay goes to entries only. An entry with a first-hand end ignores repeats of it, which would otherwise extend the end by the way of both messages each time. A note counts for at least 2.5 s, so that short warm-up times don't end it before its repetition. Correct the comment that said entries repeat notes.

New tests: one busy entry of 12, and of 36 with three relays, knows a 10 s cold time from answers only.

--- a/include/kingcupshunt/fleet/cold_relay.h
+++ b/include/kingcupshunt/fleet/cold_relay.h
@@ -41,8 +41,8 @@
 
   /// All cold servers, for an entry that begins to report here.
   std::vector<cold_note> notes(base::time_point now) const;
-  /// Servers that became cold, or are cold for longer, since the last call: for the entries that
-  /// report here, and for the other relays.
+  /// Servers that became cold, or are cold for longer, since the last call, and once a second those
+  /// with recent first-hand reports: for the entries that report here, and for the other relays.
   std::vector<cold_note> take_news(base::time_point now);
   std::vector<cold_note> take_share(base::time_point now);
   bool has_news() const noexcept { return !news_.empty(); }
@@ -54,6 +54,9 @@
     base::time_point until{};
     double per_second = 0;
     std::string data_centre;
+    base::time_point reported_at{}; ///< last first-hand report to this relay
+    base::time_point stated_at{};   ///< the same, or a note of another relay
+    base::time_point repeat_at{};
     /// Entries with requests for the service, and when they last said so.
     std::map<std::string, base::time_point, std::less<>> wanted_by;
   };
@@ -67,6 +70,7 @@
   };
 
   bool note_cold(const cold_note& note, base::time_point now);
+  void repeat_notes(base::time_point now);
   void expire(base::time_point now);
   rates::permit_recipients recipients_of(std::string_view server) const;
   std::vector<cold_note> take(std::vector<std::string>& ids, base::time_point now) const;
--- a/src/balance/server_board_cold.cpp
+++ b/src/balance/server_board_cold.cpp
@@ -17,6 +17,8 @@
 constexpr base::seconds wanted_time{2};
 /// Statements of one cold period differ by the time that they take to arrive.
 constexpr base::milliseconds news_tolerance{250};
+/// A note at second hand counts for at least this long, more than the interval of its repetition.
+constexpr base::milliseconds min_second_hand{2500};
 /// Requests without a relay are counted for as long as the permits' bound assumes.
 constexpr base::duration unrelayed_window = base::seconds(1) + rates::cold_send_delay;
 
@@ -65,6 +67,11 @@
   }
   const auto until = now + left;
   const bool is_news = until > std::max(s.cold.until, now) + news_tolerance;
+  // A note of the relay repeats what this instance reported, later by the time of both messages. If
+  // that extended the time, reports and notes would extend each other.
+  if (!is_first_hand && !is_news && s.cold.is_first_hand && now < s.cold.until) {
+    return;
+  }
   if (is_news) {
     s.cold.is_first_hand = is_first_hand;
     s.cold.is_news = s.cold.is_news || is_first_hand;
@@ -211,12 +218,14 @@
       continue;
     }
     auto& s = it->second;
-    // A late message must not make a server cold for long; the entries that have it first-hand
-    // repeat it each second.
+    // A late message must not make a server cold for long. The relay repeats the note once a second
+    // while entries report the server first-hand.
     const auto* terms = cold_terms_of(s);
     const base::duration left = base::milliseconds(note.left_ms);
     const bool is_capped = terms != nullptr && terms->warmup > base::duration{};
-    extend_cold(s, is_capped ? std::min(left, terms->warmup) : left, false, now);
+    const base::duration longest =
+        is_capped ? std::max<base::duration>(terms->warmup, min_second_hand) : base::duration{};
+    extend_cold(s, is_capped ? std::min(left, longest) : left, false, now);
   }
 }
 
--- a/src/fleet/cold_relay.cpp
+++ b/src/fleet/cold_relay.cpp
@@ -18,6 +18,9 @@
 constexpr base::milliseconds start_delay{2500};
 /// A smaller change of the end of a server's cold time is not sent on.
 constexpr base::milliseconds news_tolerance{250};
+/// Entries take a server for cold no longer than one warm-up after a note at second hand, so notes
+/// of longer cold periods are repeated.
+constexpr base::seconds repeat_interval{1};
 constexpr std::uint32_t max_cold_ms = 600'000;
 
 } // namespace
@@ -39,9 +42,11 @@
   s.until = std::max(s.until, until);
   s.per_second = note.per_second;
   s.data_centre = note.data_centre;
+  s.stated_at = now;
   permits_.set_limit(note.server, rates::cold_issue_rate(bound_, note.per_second), now);
   if (is_news) {
     news_.push_back(note.server);
+    s.repeat_at = now + repeat_interval;
   }
   return is_news;
 }
@@ -56,6 +61,9 @@
       to_share_.push_back(note.server);
     }
     const auto it = servers_.find(note.server);
+    if (it != servers_.end() && note.left_ms > 0) {
+      it->second.reported_at = now;
+    }
     if (it != servers_.end() && note.is_wanted) {
       it->second.wanted_by.insert_or_assign(std::string(from), now);
     } else if (it != servers_.end()) {
@@ -70,6 +78,21 @@
   }
 }
 
+/// Repeats what is left of the cold time of servers whose last reports are recent. Notes of other
+/// relays are passed on to entries only, so that none goes round between relays.
+void cold_relay::repeat_notes(base::time_point now) {
+  for (auto& [id, s] : servers_) {
+    if (now < s.repeat_at || now - s.stated_at > report_timeout) {
+      continue;
+    }
+    s.repeat_at = now + repeat_interval;
+    news_.push_back(id);
+    if (now - s.reported_at <= report_timeout) {
+      to_share_.push_back(id);
+    }
+  }
+}
+
 void cold_relay::expire(base::time_point now) {
   std::erase_if(servers_, [&](const auto& item) {
     const bool is_over = now >= item.second.until;
@@ -121,6 +144,7 @@
   }
   called_at_ = now;
   expire(now);
+  repeat_notes(now);
   std::map<std::string, permit_grant> out;
   if (servers_.empty()) {
     return out;
--- a/tests/balance/server_cold_test.cpp
+++ b/tests/balance/server_cold_test.cpp
@@ -202,6 +202,32 @@
   CHECK(!board.is_cold("s0", start + base::milliseconds(3000)));
 }
 
+// Guards against reports and notes of the relay that extend each other by the time of their way,
+// and against a short warm-up time that ends a note before it is repeated.
+TEST_CASE("notes of the relay don't extend what an answer stated, and last until the next one") {
+  server_board board(settings());
+  board.set_cold_terms({{"fitting", {4.7, base::milliseconds(500)}}}, start);
+  board.set_record(record("s0", 0), start);
+  board.set_record(record("s1", 0), start);
+  const auto chosen = board.begin({"fitting", 1, true}, {}, start);
+  REQUIRE(chosen);
+  const std::string id = chosen.value().id;
+  const std::string other = id == "s0" ? "s1" : "s0";
+  board.end(id, 1, answer(base::seconds(4)), start);
+  for (int i = 1; i < 4; ++i) {
+    const auto now = start + base::milliseconds(1000 * i);
+    const auto left = static_cast<std::uint32_t>(4100 - 1000 * i);
+    board.apply_cold(
+        std::vector<fleet::cold_note>{{id, left, 4.7, "a", false}, {other, left, 4.7, "a", false}},
+        now);
+    CHECK(board.is_cold(other, now + base::milliseconds(1050)));
+    for (const auto& note : report_at(board, now).cold) {
+      CHECK(note.left_ms == (note.server == id ? 4000 - 1000 * i : 0));
+    }
+  }
+  CHECK(!board.is_cold(id, start + base::milliseconds(4000)));
+}
+
 // Guards against an announcement that was sent before the server became cold.
 TEST_CASE("a record without cold time does not end the one that an answer stated") {
   server_board board(settings());
--- a/tests/fleet/cold_servers_test.cpp
+++ b/tests/fleet/cold_servers_test.cpp
@@ -35,6 +35,19 @@
          cold_rate * base::to_seconds(f.now - from) + 5;
 }
 
+/// Requests at one entry only, 50 per second, for `time`.
+void run_busy(cold_fleet& f, const std::string& entry, base::duration time) {
+  const auto end = f.now + time;
+  while (f.now < end) {
+    f.run(base::milliseconds(20), 0);
+    auto& board = *f.entries.at(entry).board;
+    board.note_request("fitting", f.now);
+    if (const auto chosen = board.begin({"fitting", ++f.serial, true}, {}, f.now)) {
+      f.live.push_back({entry, chosen.value().id, f.serial, f.now});
+    }
+  }
+}
+
 /// Longest time without a request to a server that is cold from `from` until now.
 base::duration longest_gap(const cold_fleet& f, const std::string& id, base::time_point from) {
   auto last = from;
@@ -287,6 +300,33 @@
   CHECK(static_cast<double>(to_new) >= 0.5 * 8 * cold_rate - 2);
 }
 
+// Guards against entries that take a server for warm after its usual warm-up time, though another
+// entry has answers that say otherwise.
+TEST_CASE("a server that is cold for longer than its warm-up time is known to all entries") {
+  for (const int data_centres : {1, 3}) {
+    CAPTURE(data_centres);
+    cold_fleet f({"c0", "c1", "c2"}, 12 * data_centres, data_centres);
+    for (auto& [id, e] : f.entries) {
+      f.change_relay(e, "c" + e.data_centre.substr(2));
+    }
+    warm_up(f, 1);
+    f.run(base::seconds(2), 0);
+    auto& b = f.backends.at(server(0));
+    b.cold_until = f.now + base::seconds(10);
+    run_busy(f, "e100", base::milliseconds(500));
+    for (int i = 0; i < 18; ++i) {
+      run_busy(f, "e100", base::milliseconds(500));
+      for (const auto& [id, e] : f.entries) {
+        CHECK(e.board->is_cold(server(0), f.now));
+      }
+    }
+    f.run(b.cold_until - f.now, 0);
+    for (const auto& [id, e] : f.entries) {
+      CHECK(!e.board->is_cold(server(0), b.cold_until + base::milliseconds(50)));
+    }
+  }
+}
+
 // Guards against a relay that forgets all entries while it is paused or isolated, and gives the
 // whole rate to the first one that returns, while another relay still issues its part.
 TEST_CASE("a relay that was alone for 12 s hears from all entries before it issues permits again") {
