Keep the parts of entries that change relay from being issued twice

The part of a relay counted all entries that report to it, but permits went only to those with requests. While entries changed relay, the former relay still gave the rate to the busy entry it had kept, and the new one gave the parts of the idle entries to the busy entry that had moved.

For 2.5 s after its first report to a relay, an entry counts there only if it has requests itself. What an entry wants now counts 3.5 s, so that the former relay does not give its part to others before it drops the entry.

--- a/include/kingcupshunt/fleet/cold_relay.h
+++ b/include/kingcupshunt/fleet/cold_relay.h
@@ -67,12 +67,13 @@
   struct last_report {
     std::uint64_t stamp = 0;
     base::time_point at{};
+    base::time_point since{}; ///< first one without a gap
   };
 
   bool note_cold(const cold_note& note, base::time_point now);
   void repeat_notes(base::time_point now);
   void expire(base::time_point now);
-  rates::permit_recipients recipients_of(std::string_view server) const;
+  rates::permit_recipients recipients_of(std::string_view server, base::time_point now) const;
   std::vector<cold_note> take(std::vector<std::string>& ids, base::time_point now) const;
   static cold_note to_note(std::string_view id, const cold_server& s, base::time_point now);
 
--- a/src/fleet/cold_relay.cpp
+++ b/src/fleet/cold_relay.cpp
@@ -13,6 +13,10 @@
 constexpr base::seconds entry_retention{10};
 /// An entry that does not report for this long gets no permits. Entries report each second.
 constexpr base::milliseconds report_timeout{2500};
+/// An entry's requests for a service count this long: as long as a report, plus the interval of the
+/// full reports that state them. While the part of an entry that has left is issued, the entry must
+/// remain among its recipients, as its new relay issues the part as well.
+constexpr base::milliseconds wanted_timeout{3500};
 /// A control instance that starts, or was paused or isolated, hears from all entries within this
 /// time, by whose number it divides: they connect again after at most 2 s and ask each 0.5 s.
 constexpr base::milliseconds start_delay{2500};
@@ -55,7 +59,9 @@
   if (report.stamp == 0) {
     return; // an earlier build, which uses no permits for cold servers
   }
-  reports_.insert_or_assign(std::string(from), last_report{report.stamp, now});
+  auto& last = reports_[std::string(from)];
+  const bool is_first = last.since == base::time_point{} || now - last.at > report_timeout;
+  last = {report.stamp, now, is_first ? now : last.since};
   for (const auto& note : report.cold) {
     if (note_cold(note, now)) {
       to_share_.push_back(note.server);
@@ -103,21 +109,25 @@
   });
   for (auto& [id, s] : servers_) {
     std::erase_if(s.wanted_by,
-                  [&](const auto& item) { return now - item.second > report_timeout; });
+                  [&](const auto& item) { return now - item.second > wanted_timeout; });
   }
   std::erase_if(reports_, [&](const auto& item) { return now - item.second.at > report_timeout; });
   std::erase_if(entries_, [&](const auto& item) { return now - item.second.at > entry_retention; });
 }
 
 /// The entries that have requests for the service get the permits, all that report when none has
-/// said so. Where each data centre has a relay, a server's permits go to the entries of its own.
-rates::permit_recipients cold_relay::recipients_of(std::string_view server) const {
+/// said so. An entry that began to report here lately counts for its own requests only: its former
+/// relay still issues its part to others. Where each data centre has a relay, a server's permits go
+/// to the entries of its own.
+rates::permit_recipients cold_relay::recipients_of(std::string_view server,
+                                                   base::time_point now) const {
   const auto& s = servers_.find(server)->second;
   const bool is_local = entries_.size() > max_single_relay_entries &&
                         std::ranges::any_of(entries_, [&](const auto& item) {
                           return item.second.data_centre == s.data_centre;
                         });
   std::size_t running = 0;
+  std::size_t counted = 0;
   std::vector<std::string> reporting;
   std::vector<std::string> wanting;
   for (const auto& [id, e] : entries_) {
@@ -125,15 +135,22 @@
       continue;
     }
     ++running;
-    if (reports_.contains(id)) {
+    const auto report = reports_.find(id);
+    if (report == reports_.end()) {
+      continue;
+    }
+    const bool is_wanting = s.wanted_by.contains(id);
+    const bool is_settled = now - report->second.since >= report_timeout;
+    if (is_settled) {
       reporting.push_back(id);
-      if (s.wanted_by.contains(id)) {
-        wanting.push_back(id);
-      }
     }
+    if (is_wanting) {
+      wanting.push_back(id);
+    }
+    counted += is_settled || is_wanting ? 1 : 0;
   }
   const double share =
-      running == 0 ? 0 : static_cast<double>(reporting.size()) / static_cast<double>(running);
+      running == 0 ? 0 : static_cast<double>(counted) / static_cast<double>(running);
   return {wanting.empty() ? std::move(reporting) : std::move(wanting), share};
 }
 
@@ -151,7 +168,7 @@
   }
   const bool may_issue = now >= issue_from_;
   const auto recipients = [&](std::string_view server) {
-    return may_issue ? recipients_of(server) : rates::permit_recipients{};
+    return may_issue ? recipients_of(server, now) : rates::permit_recipients{};
   };
   for (auto& p : permits_.issue(recipients, now)) {
     auto& grant = out[p.recipient];
--- a/tests/fleet/cold_servers_test.cpp
+++ b/tests/fleet/cold_servers_test.cpp
@@ -182,6 +182,57 @@
   CHECK(static_cast<double>(f.sent_since(server(20), from)) >= 0.5 * 4 * cold_rate);
 }
 
+// Guards against a former and a new relay that both give the parts of idle entries to busy ones.
+TEST_CASE("two busy entries of twelve get the rate and no more while they change their relay") {
+  std::map<std::string, cold_relay> relays;
+  std::map<std::string, std::string> relay_of;
+  for (const auto& id : {"c1", "c2"}) {
+    relays.emplace(id, rates::cold_bound{});
+  }
+  for (int i = 0; i < 12; ++i) {
+    relay_of["e" + std::to_string(100 + i)] = "c1";
+  }
+  const auto is_busy = [](const std::string& id) { return id == "e100" || id == "e101"; };
+  base::time_point now{base::seconds(100)};
+  int steps = 0;
+  const auto run = [&](base::duration time) {
+    std::uint32_t usable = 0;
+    for (const auto end = now + time; now < end; now += base::milliseconds(50)) {
+      for (const auto& [id, relay] : relay_of) {
+        load_report report;
+        report.stamp = 1;
+        if (steps % 20 == 0) { // a full report, each second
+          report.cold.push_back({"s", 60'000, cold_rate, "dc0", is_busy(id)});
+        }
+        relays.at(relay).on_report(id, report, now);
+      }
+      ++steps;
+      for (auto& [name, relay] : relays) {
+        for (const auto& [id, at] : relay_of) {
+          relay.note_entry(id, "dc0", now);
+        }
+        for (const auto& [to, grant] : relay.issue(true, now)) {
+          usable += is_busy(to) && relay_of.at(to) == name ? grant.cold.at(0).permits : 0;
+        }
+      }
+    }
+    return static_cast<double>(usable);
+  };
+  run(base::seconds(10));
+  steps = 0; // entries begin with a full report
+  for (auto& [id, relay] : relay_of) {
+    relay = id == "e101" ? "c1" : "c2";
+  }
+  const auto first = run(base::milliseconds(2500));
+  CHECK(first <= 2.5 * cold_rate + 2);
+  CHECK(first >= 0.4 * 2.5 * cold_rate);
+  steps = 0;
+  relay_of["e101"] = "c2";
+  CHECK(run(base::milliseconds(2500)) <= 2.5 * cold_rate + 2);
+  run(base::seconds(1));
+  CHECK(run(base::seconds(4)) >= 4 * cold_rate - 2);
+}
+
 // Guards against relays on both sides of a partition that each take their entries for all.
 TEST_CASE("the bound holds when a partition divides the entries and their relays") {
   for (const bool is_leader_cut : {false, true}) {
