Refuse cold permits that waited while the machine was suspended

The stamps by which an entry tells the age of cold permits used the steady clock, which stands still while a machine is suspended, so queued grants looked new on resume.

Count the suspended time in the stamps, as the difference of boot clock and steady clock.

The new test (a grant of 20 ms age that arrives after 1 s of suspension) counted 0 late permits and freed a slot without the change, and counts 1 with it. 46 fleet, 76 balance and 38 rates tests pass.

--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -239,11 +239,15 @@
   /// relay, a cold server gets no more than a fixed share of this instance.
   void set_relay(bool has_relay, std::uint32_t entries, base::time_point now);
   /// Adds the cold servers, and the stamp by which this instance tells the age of permits.
-  void add_cold_report(fleet::load_report& report, base::time_point now);
+  /// `suspended` is the time for which the machine has been suspended since it started, which the
+  /// steady clock does not count.
+  void add_cold_report(fleet::load_report& report, base::time_point now,
+                       base::duration suspended = {});
   /// Servers that other instances have found to be cold.
   void apply_cold(std::span<const fleet::cold_note> notes, base::time_point now);
   /// Adds the permits for cold servers. Returns the number that came too late.
-  std::uint32_t add_cold_permits(const fleet::permit_grant& grant, base::time_point now);
+  std::uint32_t add_cold_permits(const fleet::permit_grant& grant, base::time_point now,
+                                 base::duration suspended = {});
   /// Whether requests to the server need a permit because it is cold.
   bool is_cold(std::string_view server, base::time_point now) const;
   std::size_t cold_servers(base::time_point now) const;
--- a/src/balance/server_board_cold.cpp
+++ b/src/balance/server_board_cold.cpp
@@ -188,12 +188,13 @@
   return static_cast<std::uint64_t>(std::max<std::int64_t>(base::to_ms(at.time_since_epoch()), 1));
 }
 
-void server_board::add_cold_report(fleet::load_report& report, base::time_point now) {
+void server_board::add_cold_report(fleet::load_report& report, base::time_point now,
+                                   base::duration suspended) {
   if (cold_terms_.empty()) {
     return;
   }
-  first_stamp_ = first_stamp_ == 0 ? stamp_of(now) : first_stamp_;
-  report.stamp = stamp_of(now);
+  report.stamp = stamp_of(now + suspended);
+  first_stamp_ = first_stamp_ == 0 ? report.stamp : first_stamp_;
   has_cold_news_ = false;
   for (auto& [id, s] : servers_) {
     const bool is_due = s.record.state == fleet::server_state::ready && is_cold_limited(s, now) &&
@@ -229,15 +230,16 @@
   }
 }
 
-std::uint32_t server_board::add_cold_permits(const fleet::permit_grant& grant,
-                                             base::time_point now) {
+std::uint32_t server_board::add_cold_permits(const fleet::permit_grant& grant, base::time_point now,
+                                             base::duration suspended) {
   // The relay issued the permits `age_ms` after a report of this instance or later, so a lifetime
-  // that starts there ends in time however late the message is.
+  // that starts there ends in time however late the message is, also if the machine was suspended
+  // meanwhile.
   const bool is_own =
-      first_stamp_ != 0 && grant.stamp >= first_stamp_ && grant.stamp <= stamp_of(now);
-  const auto issued =
-      is_own ? base::time_point(base::milliseconds(grant.stamp)) + base::milliseconds(grant.age_ms)
-             : base::time_point{};
+      first_stamp_ != 0 && grant.stamp >= first_stamp_ && grant.stamp <= stamp_of(now + suspended);
+  const auto issued = is_own ? base::time_point(base::milliseconds(grant.stamp)) +
+                                   base::milliseconds(grant.age_ms) - suspended
+                             : base::time_point{};
   const auto expires = std::min(issued, now) + rates::cold_permit_lifetime;
   std::uint32_t late = 0;
   for (const auto& p : grant.cold) {
--- a/src/node/entry_cold.cpp
+++ b/src/node/entry_cold.cpp
@@ -26,6 +26,12 @@
   }
 }
 
+/// Time for which the machine has been suspended since it started.
+base::duration entry_traffic::suspended_time() noexcept {
+  const auto steady = base::clock::now();
+  return base::boot_clock::now().time_since_epoch() - steady.time_since_epoch();
+}
+
 void entry_traffic::add_cold_permits(const fleet::permit_grant& grant, base::time_point now) {
   std::uint32_t all = 0;
   for (const auto& p : grant.cold) {
@@ -34,7 +40,7 @@
   if (all == 0) {
     return;
   }
-  const auto late = board_.add_cold_permits(grant, now);
+  const auto late = board_.add_cold_permits(grant, now, suspended_time());
   runtime_.metrics.count("cold_permits_total", "received", all);
   runtime_.metrics.count("cold_permits_total", "late", late);
 }
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -501,7 +501,7 @@
     // Changes come last: `report.limits` has the limits that have ended.
     report.limits.insert(report.limits.begin(), full.limits.begin(), full.limits.end());
   }
-  board_.add_cold_report(report, now);
+  board_.add_cold_report(report, now, suspended_time());
   const bool is_empty = report.loads.empty() && report.failures.empty() && report.limits.empty() &&
                         report.cold.empty();
   if (report.is_full || !is_empty) {
--- a/src/node/entry_traffic.h
+++ b/src/node/entry_traffic.h
@@ -80,6 +80,7 @@
   void log_leaving(const balance::leaving_notice& notice); // entry_leaving.cpp
   void note_cold(const balance::cold_change& change);      // entry_cold.cpp
   void add_cold_permits(const fleet::permit_grant& grant, base::time_point now);
+  static base::duration suspended_time() noexcept;
 
   role_runtime& runtime_;
   fleet::entry_link& link_;
--- a/tests/balance/server_cold_test.cpp
+++ b/tests/balance/server_cold_test.cpp
@@ -139,6 +139,23 @@
   CHECK(board.free_slots("fitting", now + base::milliseconds(200)) == 0);
 }
 
+// Guards against grants that wait in a socket while the machine is suspended and look new
+// afterwards, as the steady clock stands still meanwhile.
+TEST_CASE("a permit that was issued before the machine was suspended is not used afterwards") {
+  server_board board(settings());
+  set_terms(board);
+  board.set_record(record("s0", 60'000), start);
+  fleet::load_report report;
+  board.add_cold_report(report, start, base::seconds(30));
+  const auto now = start + base::milliseconds(50);
+  CHECK(board.add_cold_permits(permits(report.stamp, 20, 1), now, base::seconds(31)) == 1);
+  CHECK(board.free_slots("fitting", now) == 0);
+  board.add_cold_report(report, now, base::seconds(31));
+  CHECK(board.add_cold_permits(permits(report.stamp, 20, 1), now, base::seconds(31)) == 0);
+  CHECK(board.free_slots("fitting", now + base::milliseconds(699)) == 1);
+  CHECK(board.free_slots("fitting", now + base::milliseconds(720)) == 0);
+}
+
 // Guards against a change back to cold that stays with the entry that saw it, and against a late
 // answer that ends it.
 TEST_CASE("an answer that calls its server cold is reported at once, and earlier answers don't end "
