--- a/include/kingcupshunt/fleet/cold_relay.h
+++ b/include/kingcupshunt/fleet/cold_relay.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -40,8 +41,8 @@
 
   /// All cold servers, for an entry that begins to report here.
   std::vector<cold_note> notes(base::time_point now) const;
-  /// Servers that became cold, or are cold for longer, since the last call: for the entries that
-  /// report here, and for the other relays.
+  /// Servers that became cold, or are cold for longer, since the last call, and once a second those
+  /// with recent first-hand reports: for the entries that report here, and for the other relays.
   std::vector<cold_note> take_news(base::time_point now);
   std::vector<cold_note> take_share(base::time_point now);
   bool has_news() const noexcept { return !news_.empty(); }
@@ -53,6 +54,9 @@
     base::time_point until{};
     double per_second = 0;
     std::string data_centre;
+    base::time_point reported_at{}; ///< last first-hand report to this relay
+    base::time_point stated_at{};   ///< the same, or a note of another relay
+    base::time_point repeat_at{};
     /// Entries with requests for the service, and when they last said so.
     std::map<std::string, base::time_point, std::less<>> wanted_by;
   };
@@ -63,11 +67,13 @@
   struct last_report {
     std::uint64_t stamp = 0;
     base::time_point at{};
+    base::time_point since{}; ///< first one without a gap
   };
 
   bool note_cold(const cold_note& note, base::time_point now);
+  void repeat_notes(base::time_point now);
   void expire(base::time_point now);
-  rates::permit_recipients recipients_of(std::string_view server) const;
+  rates::permit_recipients recipients_of(std::string_view server, base::time_point now) const;
   std::vector<cold_note> take(std::vector<std::string>& ids, base::time_point now) const;
   static cold_note to_note(std::string_view id, const cold_server& s, base::time_point now);
 
@@ -78,7 +84,8 @@
   std::map<std::string, last_report, std::less<>> reports_; ///< last one of each entry
   std::vector<std::string> news_;
   std::vector<std::string> to_share_;
-  base::time_point started_at_{}; ///< first call of `issue`
+  std::optional<base::time_point> called_at_; ///< last call of `issue`
+  base::time_point issue_from_{};             ///< no permits are issued before
 };
 
 } // namespace kingcupshunt::fleet
--- a/src/balance/server_board_cold.cpp
+++ b/src/balance/server_board_cold.cpp
@@ -17,6 +17,8 @@
 constexpr base::seconds wanted_time{2};
 /// Statements of one cold period differ by the time that they take to arrive.
 constexpr base::milliseconds news_tolerance{250};
+/// A note at second hand counts for at least this long, more than the interval of its repetition.
+constexpr base::milliseconds min_second_hand{2500};
 /// Requests without a relay are counted for as long as the permits' bound assumes.
 constexpr base::duration unrelayed_window = base::seconds(1) + rates::cold_send_delay;
 
@@ -65,6 +67,11 @@
   }
   const auto until = now + left;
   const bool is_news = until > std::max(s.cold.until, now) + news_tolerance;
+  // A note of the relay repeats what this instance reported, later by the time of both messages. If
+  // that extended the time, reports and notes would extend each other.
+  if (!is_first_hand && !is_news && s.cold.is_first_hand && now < s.cold.until) {
+    return;
+  }
   if (is_news) {
     s.cold.is_first_hand = is_first_hand;
     s.cold.is_news = s.cold.is_news || is_first_hand;
@@ -181,12 +188,13 @@
   return static_cast<std::uint64_t>(std::max<std::int64_t>(base::to_ms(at.time_since_epoch()), 1));
 }
 
-void server_board::add_cold_report(fleet::load_report& report, base::time_point now) {
+void server_board::add_cold_report(fleet::load_report& report, base::time_point now,
+                                   base::duration suspended) {
   if (cold_terms_.empty()) {
     return;
   }
-  first_stamp_ = first_stamp_ == 0 ? stamp_of(now) : first_stamp_;
-  report.stamp = stamp_of(now);
+  report.stamp = stamp_of(now + suspended);
+  first_stamp_ = first_stamp_ == 0 ? report.stamp : first_stamp_;
   has_cold_news_ = false;
   for (auto& [id, s] : servers_) {
     const bool is_due = s.record.state == fleet::server_state::ready && is_cold_limited(s, now) &&
@@ -211,24 +219,27 @@
       continue;
     }
     auto& s = it->second;
-    // A late message must not make a server cold for long; the entries that have it first-hand
-    // repeat it each second.
+    // A late message must not make a server cold for long. The relay repeats the note once a second
+    // while entries report the server first-hand.
     const auto* terms = cold_terms_of(s);
     const base::duration left = base::milliseconds(note.left_ms);
     const bool is_capped = terms != nullptr && terms->warmup > base::duration{};
-    extend_cold(s, is_capped ? std::min(left, terms->warmup) : left, false, now);
+    const base::duration longest =
+        is_capped ? std::max<base::duration>(terms->warmup, min_second_hand) : base::duration{};
+    extend_cold(s, is_capped ? std::min(left, longest) : left, false, now);
   }
 }
 
-std::uint32_t server_board::add_cold_permits(const fleet::permit_grant& grant,
-                                             base::time_point now) {
+std::uint32_t server_board::add_cold_permits(const fleet::permit_grant& grant, base::time_point now,
+                                             base::duration suspended) {
   // The relay issued the permits `age_ms` after a report of this instance or later, so a lifetime
-  // that starts there ends in time however late the message is.
+  // that starts there ends in time however late the message is, also if the machine was suspended
+  // meanwhile.
   const bool is_own =
-      first_stamp_ != 0 && grant.stamp >= first_stamp_ && grant.stamp <= stamp_of(now);
-  const auto issued =
-      is_own ? base::time_point(base::milliseconds(grant.stamp)) + base::milliseconds(grant.age_ms)
-             : base::time_point{};
+      first_stamp_ != 0 && grant.stamp >= first_stamp_ && grant.stamp <= stamp_of(now + suspended);
+  const auto issued = is_own ? base::time_point(base::milliseconds(grant.stamp)) +
+                                   base::milliseconds(grant.age_ms) - suspended
+                             : base::time_point{};
   const auto expires = std::min(issued, now) + rates::cold_permit_lifetime;
   std::uint32_t late = 0;
   for (const auto& p : grant.cold) {
--- a/tests/balance/server_cold_test.cpp
+++ b/tests/balance/server_cold_test.cpp
@@ -139,6 +139,23 @@
   CHECK(board.free_slots("fitting", now + base::milliseconds(200)) == 0);
 }
 
+// Guards against grants that wait in a socket while the machine is suspended and look new
+// afterwards, as the steady clock stands still meanwhile.
+TEST_CASE("a permit that was issued before the machine was suspended is not used afterwards") {
+  server_board board(settings());
+  set_terms(board);
+  board.set_record(record("s0", 60'000), start);
+  fleet::load_report report;
+  board.add_cold_report(report, start, base::seconds(30));
+  const auto now = start + base::milliseconds(50);
+  CHECK(board.add_cold_permits(permits(report.stamp, 20, 1), now, base::seconds(31)) == 1);
+  CHECK(board.free_slots("fitting", now) == 0);
+  board.add_cold_report(report, now, base::seconds(31));
+  CHECK(board.add_cold_permits(permits(report.stamp, 20, 1), now, base::seconds(31)) == 0);
+  CHECK(board.free_slots("fitting", now + base::milliseconds(699)) == 1);
+  CHECK(board.free_slots("fitting", now + base::milliseconds(720)) == 0);
+}
+
 // Guards against a change back to cold that stays with the entry that saw it, and against a late
 // answer that ends it.
 TEST_CASE("an answer that calls its server cold is reported at once, and earlier answers don't end "
@@ -202,6 +219,32 @@
   CHECK(!board.is_cold("s0", start + base::milliseconds(3000)));
 }
 
+// Guards against reports and notes of the relay that extend each other by the time of their way,
+// and against a short warm-up time that ends a note before it is repeated.
+TEST_CASE("notes of the relay don't extend what an answer stated, and last until the next one") {
+  server_board board(settings());
+  board.set_cold_terms({{"fitting", {4.7, base::milliseconds(500)}}}, start);
+  board.set_record(record("s0", 0), start);
+  board.set_record(record("s1", 0), start);
+  const auto chosen = board.begin({"fitting", 1, true}, {}, start);
+  REQUIRE(chosen);
+  const std::string id = chosen.value().id;
+  const std::string other = id == "s0" ? "s1" : "s0";
+  board.end(id, 1, answer(base::seconds(4)), start);
+  for (int i = 1; i < 4; ++i) {
+    const auto now = start + base::milliseconds(1000 * i);
+    const auto left = static_cast<std::uint32_t>(4100 - 1000 * i);
+    board.apply_cold(
+        std::vector<fleet::cold_note>{{id, left, 4.7, "a", false}, {other, left, 4.7, "a", false}},
+        now);
+    CHECK(board.is_cold(other, now + base::milliseconds(1050)));
+    for (const auto& note : report_at(board, now).cold) {
+      CHECK(note.left_ms == (note.server == id ? 4000 - 1000 * i : 0));
+    }
+  }
+  CHECK(!board.is_cold(id, start + base::milliseconds(4000)));
+}
+
 // Guards against an announcement that was sent before the server became cold.
 TEST_CASE("a record without cold time does not end the one that an answer stated") {
   server_board board(settings());
--- a/tests/fleet/cold_servers_test.cpp
+++ b/tests/fleet/cold_servers_test.cpp
@@ -35,6 +35,19 @@
          cold_rate * base::to_seconds(f.now - from) + 5;
 }
 
+/// Requests at one entry only, 50 per second, for `time`.
+void run_busy(cold_fleet& f, const std::string& entry, base::duration time) {
+  const auto end = f.now + time;
+  while (f.now < end) {
+    f.run(base::milliseconds(20), 0);
+    auto& board = *f.entries.at(entry).board;
+    board.note_request("fitting", f.now);
+    if (const auto chosen = board.begin({"fitting", ++f.serial, true}, {}, f.now)) {
+      f.live.push_back({entry, chosen.value().id, f.serial, f.now});
+    }
+  }
+}
+
 /// Longest time without a request to a server that is cold from `from` until now.
 base::duration longest_gap(const cold_fleet& f, const std::string& id, base::time_point from) {
   auto last = from;
@@ -169,6 +182,57 @@
   CHECK(static_cast<double>(f.sent_since(server(20), from)) >= 0.5 * 4 * cold_rate);
 }
 
+// Guards against a former and a new relay that both give the parts of idle entries to busy ones.
+TEST_CASE("two busy entries of twelve get the rate and no more while they change their relay") {
+  std::map<std::string, cold_relay> relays;
+  std::map<std::string, std::string> relay_of;
+  for (const auto& id : {"c1", "c2"}) {
+    relays.emplace(id, rates::cold_bound{});
+  }
+  for (int i = 0; i < 12; ++i) {
+    relay_of["e" + std::to_string(100 + i)] = "c1";
+  }
+  const auto is_busy = [](const std::string& id) { return id == "e100" || id == "e101"; };
+  base::time_point now{base::seconds(100)};
+  int steps = 0;
+  const auto run = [&](base::duration time) {
+    std::uint32_t usable = 0;
+    for (const auto end = now + time; now < end; now += base::milliseconds(50)) {
+      for (const auto& [id, relay] : relay_of) {
+        load_report report;
+        report.stamp = 1;
+        if (steps % 20 == 0) { // a full report, each second
+          report.cold.push_back({"s", 60'000, cold_rate, "dc0", is_busy(id)});
+        }
+        relays.at(relay).on_report(id, report, now);
+      }
+      ++steps;
+      for (auto& [name, relay] : relays) {
+        for (const auto& [id, at] : relay_of) {
+          relay.note_entry(id, "dc0", now);
+        }
+        for (const auto& [to, grant] : relay.issue(true, now)) {
+          usable += is_busy(to) && relay_of.at(to) == name ? grant.cold.at(0).permits : 0;
+        }
+      }
+    }
+    return static_cast<double>(usable);
+  };
+  run(base::seconds(10));
+  steps = 0; // entries begin with a full report
+  for (auto& [id, relay] : relay_of) {
+    relay = id == "e101" ? "c1" : "c2";
+  }
+  const auto first = run(base::milliseconds(2500));
+  CHECK(first <= 2.5 * cold_rate + 2);
+  CHECK(first >= 0.4 * 2.5 * cold_rate);
+  steps = 0;
+  relay_of["e101"] = "c2";
+  CHECK(run(base::milliseconds(2500)) <= 2.5 * cold_rate + 2);
+  run(base::seconds(1));
+  CHECK(run(base::seconds(4)) >= 4 * cold_rate - 2);
+}
+
 // Guards against relays on both sides of a partition that each take their entries for all.
 TEST_CASE("the bound holds when a partition divides the entries and their relays") {
   for (const bool is_leader_cut : {false, true}) {
@@ -287,6 +351,79 @@
   CHECK(static_cast<double>(to_new) >= 0.5 * 8 * cold_rate - 2);
 }
 
+// Guards against entries that take a server for warm after its usual warm-up time, though another
+// entry has answers that say otherwise.
+TEST_CASE("a server that is cold for longer than its warm-up time is known to all entries") {
+  for (const int data_centres : {1, 3}) {
+    CAPTURE(data_centres);
+    cold_fleet f({"c0", "c1", "c2"}, 12 * data_centres, data_centres);
+    for (auto& [id, e] : f.entries) {
+      f.change_relay(e, "c" + e.data_centre.substr(2));
+    }
+    warm_up(f, 1);
+    f.run(base::seconds(2), 0);
+    auto& b = f.backends.at(server(0));
+    b.cold_until = f.now + base::seconds(10);
+    run_busy(f, "e100", base::milliseconds(500));
+    for (int i = 0; i < 18; ++i) {
+      run_busy(f, "e100", base::milliseconds(500));
+      for (const auto& [id, e] : f.entries) {
+        CHECK(e.board->is_cold(server(0), f.now));
+      }
+    }
+    f.run(b.cold_until - f.now, 0);
+    for (const auto& [id, e] : f.entries) {
+      CHECK(!e.board->is_cold(server(0), b.cold_until + base::milliseconds(50)));
+    }
+  }
+}
+
+// Guards against a relay that forgets all entries while it is paused or isolated, and gives the
+// whole rate to the first one that returns, while another relay still issues its part.
+TEST_CASE("a relay that was alone for 12 s hears from all entries before it issues permits again") {
+  for (const bool is_paused : {false, true}) {
+    CAPTURE(is_paused);
+    cold_relay relay{{}};
+    auto now = base::time_point{base::seconds(10)};
+    load_report report;
+    report.is_full = true;
+    report.stamp = 1;
+    report.cold.push_back({"s", 60'000, cold_rate, "dc0", true});
+    std::size_t issued = 0;
+    // Only the first entry reports here; the others report to another relay.
+    const auto step = [&](int entries, bool has_majority) {
+      now += base::milliseconds(50);
+      for (int i = 0; i < entries; ++i) {
+        relay.note_entry("e" + std::to_string(i), "dc0", now);
+      }
+      if (entries > 0) {
+        relay.on_report("e0", report, now);
+      }
+      issued += relay.issue(has_majority, now).size();
+    };
+    for (int i = 0; i < 200; ++i) {
+      step(12, true);
+    }
+    CHECK(issued >= 1);
+    if (is_paused) {
+      now += base::seconds(12);
+    } else {
+      for (int i = 0; i < 240; ++i) {
+        step(0, false);
+      }
+    }
+    issued = 0;
+    for (int i = 0; i < 100; ++i) { // the entries return within 2 s
+      step(std::min(1 + i / 4, 12), true);
+    }
+    CHECK(static_cast<double>(issued) <= cold_rate / 12 * (2.5 + 0.1) + 1); // 0.1 s may accrue
+    for (int i = 0; i < 200; ++i) {
+      step(12, true);
+    }
+    CHECK(static_cast<double>(issued) >= cold_rate / 12 * 10);
+  }
+}
+
 // Guards against a cold period that messages between relays and entries keep alive.
 TEST_CASE("a server that was cold once is not cold for longer through late messages") {
   cold_fleet f(three_controls, 6, 1);
