Move the gate of an entry into a file of its own

These move to src/node/entry_admission.cpp; not_run and rank_of, which both files use, move to src/node/request_facts.h. No line of code changes. Both objects compile with KINGCUPSHUNT_WERROR.

--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <numbers>
 #include <utility>
 
@@ -10,11 +9,11 @@
 #include "kingcupshunt/config/route_parts.h"
 #include "kingcupshunt/observe/event_log.h"
 #include "kingcupshunt/settings/process_settings.h"
+#include "request_facts.h"
 
 namespace kingcupshunt::node {
 
 using peer::message_kind;
-using proxy::ran_state;
 using proxy::refusal;
 
 namespace {
@@ -28,14 +27,8 @@
 /// From process start until it serves, when all instances start at once.
 constexpr base::milliseconds typical_start_time{700};
 constexpr base::milliseconds min_start_retry_after{250};
-constexpr base::milliseconds overload_retry_after{400}; // about two typical request times
 constexpr base::seconds suspect_retry_after{30};
 
-refusal not_run(unsigned status, std::string reason, std::string message,
-                std::optional<base::milliseconds> retry_after = std::nullopt) {
-  return {status, std::move(reason), std::move(message), ran_state::no, retry_after};
-}
-
 balance::board_settings board_settings_of(const role_runtime& runtime) {
   balance::board_settings out;
   out.data_centre = runtime.settings.data_centre;
@@ -62,12 +55,6 @@
   return out;
 }
 
-/// The rank of the workspace takes precedence over that of the route.
-std::uint32_t rank_of(const proxy::authorized_request& request) {
-  const bool has_own = request.workspace && request.workspace->rank;
-  return has_own ? *request.workspace->rank : request.route->rank;
-}
-
 admission::window_budget_settings retry_settings_of(const settings::role_bounds& b) {
   admission::window_budget_settings out;
   out.share = b.retry_share;
@@ -244,66 +231,6 @@
       });
 }
 
-admission::gate_capacity entry_traffic::capacity_of(const std::string& service,
-                                                    base::time_point now) const {
-  admission::gate_capacity out;
-  out.free_slots = board_.free_slots(service, now);
-  out.starts_per_second = board_.starts_per_second(service, now) / link_.entry_count();
-  if (board_.is_left(service, now)) {
-    out.free_slots = std::numeric_limits<std::uint32_t>::max(); // `pick` refuses them at once
-  }
-  return out;
-}
-
-void entry_traffic::enter_gate(const proxy::authorized_request& request,
-                               std::function<void(proxy::decided<void>)> done) {
-  const auto now = base::clock::now();
-  const auto& service = request.service->name;
-  admission::gate_request turn;
-  turn.rank = rank_of(request);
-  turn.latest_start =
-      request.deadline - board_.mean_response_time(service).value_or(base::duration{});
-  if (auto refused = refusal_of_pause(service, now)) {
-    board_.note_refused(service, now);
-    done(std::move(*refused));
-    return;
-  }
-  gates_[service].enter(turn, capacity_of(service, now), now,
-                        [this, service, done = std::move(done)](admission::gate_result refused) {
-                          if (!refused) {
-                            done(base::success());
-                          } else {
-                            const auto at = base::clock::now();
-                            board_.note_refused(service, at);
-                            if (auto paused = refusal_of_pause(service, at)) {
-                              done(std::move(*paused));
-                              return;
-                            }
-                            done(not_run(503, "servers_full",
-                                         "no server has a free slot before the deadline",
-                                         overload_retry_after));
-                          }
-                        });
-}
-
-void entry_traffic::dispatch(const std::string& service, base::time_point now) {
-  const auto it = gates_.find(service);
-  if (it != gates_.end() && it->second.waiting() > 0 && board_.pause_end(service, now)) {
-    it->second.refuse_all(admission::gate_refusal::paused);
-    return;
-  }
-  // One request at a time, so that each takes its slot before free slots are read again.
-  while (it != gates_.end() && it->second.waiting() > 0) {
-    auto capacity = capacity_of(service, now);
-    const auto before = it->second.waiting();
-    capacity.free_slots = std::min<std::uint32_t>(capacity.free_slots, 1);
-    if (it->second.dispatch(capacity, now) == 0 || it->second.waiting() >= before ||
-        capacity_of(service, now).free_slots == 0) {
-      break;
-    }
-  }
-}
-
 proxy::decided<proxy::upstream_target> entry_traffic::pick(const proxy::authorized_request& request,
                                                            std::uint64_t fingerprint,
                                                            const std::vector<std::string>& tried) {
