Relay the demand of entries by service and rank

No entry knows what waits at the others, so a lower rank overtakes a higher one elsewhere and many entries start requests on the same free slots. load_report gets the optional member d: service, rank, waiting. Older builds skip the member. No entry sends it yet.

--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -14,6 +14,7 @@
 #include <nlohmann/json.hpp>
 
 #include "kingcupshunt/base/time.h"
+#include "kingcupshunt/fleet/demand_sums.h"
 #include "kingcupshunt/fleet/document_log.h"
 #include "kingcupshunt/fleet/messages.h"
 #include "kingcupshunt/fleet/server_table.h"
@@ -132,6 +133,7 @@
     std::vector<failure_note> to_share;      ///< for the other relays
     std::vector<limit_note> limits;          ///< changed, for the entries that report here
     std::vector<limit_note> limits_to_share; ///< changed, for the other relays
+    demand_sums demands;
     rates::permit_issuer permits;
     std::map<std::string, std::string, std::less<>> limited_in;       ///< server to its data centre
     std::map<std::string, base::time_point, std::less<>> reported_at; ///< last report of each entry
@@ -156,7 +158,7 @@
   bool set_limit(const limit_note& note, base::time_point now);
   void send_limits(std::string_view to);
   void issue_permits(base::time_point now);
-  void flush_loads();
+  void flush_loads(base::time_point now);
   void share_failures(base::time_point now);
   void remove_load(std::string_view id);
   void check_shares(base::time_point now);
--- a/include/kingcupshunt/fleet/messages.h
+++ b/include/kingcupshunt/fleet/messages.h
@@ -169,6 +169,14 @@
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("m", limits))
 };
 
+/// Requests of one rank that wait for a service: at one entry instance, or at all of a relay.
+struct demand_note {
+  std::string service;
+  std::uint32_t rank = 0;
+  std::uint32_t waiting = 0;
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("s", service), MSGPACK_NVP("r", rank), MSGPACK_NVP("n", waiting))
+};
+
 /// Load, failures and limits, in one of three messages: changed in-flight counts, new failures and
 /// changed limits of an entry instance since its last report (load_pulse); the sums over all entry
 /// instances of a relay, sent by the relay to each of them (load_total); or the failures and limits
@@ -178,8 +186,11 @@
   std::vector<server_load> loads;
   std::vector<failure_note> failures;
   std::vector<limit_note> limits;
+  /// Changed values, and those above 0 again at short intervals. Sent only by entries with fleet
+  /// admission; builds without it skip the member.
+  std::vector<demand_note> demands = {};
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", is_full), MSGPACK_NVP("l", loads), MSGPACK_NVP("f", failures),
-                     MSGPACK_NVP("m", limits))
+                     MSGPACK_NVP("m", limits), MSGPACK_NVP("d", demands))
 };
 
 struct server_permits {
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -382,7 +382,7 @@
       (!loads_.failures.empty() && loads_.reported_at.size() <= max_single_relay_entries)) {
     flush_at_ = now + flush_interval;
     share_failures(now);
-    flush_loads();
+    flush_loads(now);
     issue_permits(now);
   }
   if (now >= push_at_) {
--- a/src/fleet/control_relay.cpp
+++ b/src/fleet/control_relay.cpp
@@ -14,6 +14,7 @@
   if (report.is_full) {
     remove_load(from);
   }
+  loads_.demands.apply(from, report.demands, now);
   for (const auto& load : report.loads) {
     auto& entries = loads_.by_server[load.server];
     if (load.in_flight == 0) {
@@ -137,11 +138,13 @@
 
 /// Sends the same message to all entries that report to this instance. The sums include the
 /// receiver's own load, which it can subtract.
-void control_core::flush_loads() {
-  if (loads_.changed.empty() && loads_.failures.empty() && loads_.limits.empty()) {
+void control_core::flush_loads(base::time_point now) {
+  load_report out;
+  out.demands = loads_.demands.take(now);
+  if (loads_.changed.empty() && loads_.failures.empty() && loads_.limits.empty() &&
+      out.demands.empty()) {
     return;
   }
-  load_report out;
   for (const auto& server : loads_.changed) {
     const auto it = loads_.by_server.find(server);
     std::uint32_t n = 0;
