Use admission over all entries where the settings list pressure

Each entry queued alone, against its own view of free slots. Without the setting no demand is kept and the paths are those of before.

--- a/include/kingcupshunt/settings/role_settings.h
+++ b/include/kingcupshunt/settings/role_settings.h
@@ -44,7 +44,8 @@
   listen_address directory;       ///< control: callers that ask for entries
   listen_address tunnel;          ///< entry: other entries that cannot reach backend servers
   listen_address metrics;
-  std::size_t memory_bytes = 0; ///< the process is killed beyond this; 0: not known
+  bool has_fleet_admission = false; ///< entry: counts what waits at other entries
+  std::size_t memory_bytes = 0;     ///< the process is killed beyond this; 0: not known
   role_bounds bounds;
 };
 
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -282,6 +282,9 @@
 void entry_traffic::report(const proxy::authorized_request& request, const health::attempt& a) {
   const auto now = base::clock::now();
   board_.end(a.upstream, request.serial, a, now);
+  if (const auto it = demands_.find(request.service->name); it != demands_.end()) {
+    it->second.note_ended();
+  }
   switch (a.end) {
   case health::attempt_end::closed_unanswered:
   case health::attempt_end::stale_connection:
@@ -369,6 +372,7 @@
   runtime_.metrics.count("server_failures_total", "others",
                          static_cast<double>(total->failures.size()));
   board_.apply_total(*total, now);
+  learn_demands(*total, now);
   for (const auto& note : total->failures) {
     if (note.kind == fleet::failure_kind::reset) {
       crashes_.record_closed(note.fingerprint, note.server, now);
@@ -403,6 +407,9 @@
     relay_ = relay;
     is_relay_local_ = is_local;
     board_.change_relay(is_local);
+    for (auto& [service, demand] : demands_) {
+      demand.change_relay();
+    }
     full_report_at_ = {};
   }
   if (relay_.empty()) {
@@ -420,7 +427,9 @@
     // Changes come last: `report.limits` has the limits that have ended.
     report.limits.insert(report.limits.begin(), full.limits.begin(), full.limits.end());
   }
-  const bool is_empty = report.loads.empty() && report.failures.empty() && report.limits.empty();
+  add_demands(report, now);
+  const bool is_empty = report.loads.empty() && report.failures.empty() && report.limits.empty() &&
+                        report.demands.empty();
   if (report.is_full || !is_empty) {
     runtime_.send(relay_, message_kind::load_pulse, peer::pack(report));
   }
--- a/src/node/entry_traffic.h
+++ b/src/node/entry_traffic.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "kingcupshunt/admission/crash_history.h"
+#include "kingcupshunt/admission/fleet_demand.h"
 #include "kingcupshunt/admission/service_gate.h"
 #include "kingcupshunt/admission/start_gate.h"
 #include "kingcupshunt/admission/window_budget.h"
@@ -66,6 +67,16 @@
   proxy::connection_plan plan_connection();
   void note_connection(const proxy::connection_outcome& outcome);
   void dispatch(const std::string& service, base::time_point now);
+  // Admission over all entries, in entry_admission.cpp.
+  admission::service_gate& gate_of(const std::string& service);
+  admission::gate_request turn_of(const proxy::authorized_request& request) const;
+  proxy::refusal refusal_of_gate(admission::gate_refusal reason, const std::string& service,
+                                 const admission::gate_request& turn, base::time_point deadline);
+  admission::start_query start_query_of(const std::string& service, base::time_point now) const;
+  void dispatch_fleet(const std::string& service, base::time_point now);
+  void add_demands(fleet::load_report& report, base::time_point now);
+  void learn_demands(const fleet::load_report& total, base::time_point now);
+  void note_held(const std::string& service, std::size_t held, base::time_point now);
   void receive_permits(std::string_view from, std::string_view body, base::time_point now);
   void send_report(base::time_point now);
   void note_pause(const balance::pause_change& change);
@@ -85,6 +96,14 @@
   admission::window_budget retries_;
   admission::crash_history crashes_;
   std::map<std::string, admission::service_gate, std::less<>> gates_;
+  /// By service; empty without fleet admission.
+  std::map<std::string, admission::fleet_demand, std::less<>> demands_;
+  struct held_count {
+    std::uint64_t held = 0;    ///< waiting requests at a dispatch that had free slots for them
+    std::uint64_t refused = 0; ///< by the gate
+    base::time_point logged_at{};
+  };
+  std::map<std::string, held_count, std::less<>> held_; ///< since the last log line, by service
   rates::local_share local_share_; ///< used while the owner of a rate does not answer
   std::map<std::string, part_counter, std::less<>> parts_;
   admission::start_gate start_gate_{{}, base::clock::now()};
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -185,6 +185,12 @@
     REQUIRE(!bad);
     CHECK(bad.error().find(name) != std::string::npos);
   }
+  // Guards against fleet admission in deployments that don't list its contract.
+  CHECK(!s.value().has_fleet_admission);
+  all["contracts"] = {"other", "pressure"};
+  CHECK(parse_settings(all.dump()).value().has_fleet_admission);
+  all["contracts"] = {"other"};
+  CHECK(!parse_settings(all.dump()).value().has_fleet_admission);
   all["listen"]["front"] = "10.1.0.5";
   CHECK(!parse_settings(all.dump()));
   CHECK(!parse_settings("{"));
