Test weights, latest start and demand elsewhere in the gate

clang-tidy takes the defaulted operator<=> of the gate's order for a null pointer; operator< by std::tie replaces it.

--- a/include/kingcupshunt/admission/service_gate.h
+++ b/include/kingcupshunt/admission/service_gate.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -83,7 +83,9 @@
     std::uint32_t rank = 0;
     double place = 0; ///< within the rank, as `gate_order` says
     std::uint64_t arrival = 0;
-    auto operator<=>(const order&) const = default;
+    friend bool operator<(const order& a, const order& b) {
+      return std::tie(a.rank, a.place, a.arrival) < std::tie(b.rank, b.place, b.arrival);
+    }
   };
   struct waiting_request {
     base::time_point latest_start;
--- a/tests/admission/service_gate_test.cpp
+++ b/tests/admission/service_gate_test.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -80,6 +81,44 @@
   CHECK(log.passed.size() == 1);
 }
 
+// Guards against a workspace that floods a contended service and gets the share of the others.
+TEST_CASE("waiting workspaces share by weight") {
+  service_gate gate({256, gate_order::fair_latest_start});
+  gate_log log;
+  const gate_capacity none{0, 0};
+  for (int i = 0; i < 40; ++i) {
+    gate.enter({1, start + base::seconds(2), "flood", 1}, none, start, log.note("flood"));
+  }
+  for (int i = 0; i < 8; ++i) {
+    gate.enter({1, start + base::seconds(2), "heavy", 2}, none, start, log.note("heavy"));
+  }
+  CHECK(gate.dispatch({12, 0}, start) == 12);
+  const auto heavy = std::ranges::count(log.passed, "heavy");
+  CHECK(heavy >= 7);
+  CHECK(heavy <= 9);
+}
+
+// Guards against callers that return with little time left and are starved by new ones.
+TEST_CASE("within a workspace the request that must start soonest goes first") {
+  service_gate gate({256, gate_order::fair_latest_start});
+  gate_log log;
+  gate.enter({1, start + base::seconds(2), "w", 1}, {0, 0}, start, log.note("new"));
+  gate.enter({1, start + base::milliseconds(500), "w", 1}, {0, 0}, start, log.note("returning"));
+  gate.enter({0, start + base::seconds(3), "w", 1}, {0, 0}, start, log.note("high"));
+  CHECK(gate.dispatch({2, 0}, start) == 2);
+  CHECK(log.passed == std::vector<std::string>{"high", "returning"});
+}
+
+// Guards against requests that wait although what waits at other entries goes first for too long.
+TEST_CASE("the expected wait counts what waits elsewhere") {
+  service_gate gate;
+  gate_log log;
+  gate.enter(request(1, 400), {0, 10, 5}, start, log.note("late"));
+  CHECK(log.refused == std::vector<std::string>{"late"});
+  gate.enter(request(1, 400), {0, 10, 2}, start, log.note("in time"));
+  CHECK(gate.waiting() == 1);
+}
+
 TEST_CASE("a request that crashed several servers is a suspect until a server answers it") {
   crash_history history;
   history.record_closed(1, "a", start);
