--- a/src/admission/fleet_demand.cpp
+++ b/src/admission/fleet_demand.cpp
@@ -162,7 +162,7 @@
   // start, so without this term slots in the amount of the starts of that time would stay free.
   const double ends =
       query.mean_seconds > 0
-          ? std::min<double>(query.other_in_flight, query.slots) *
+          ? query.other_in_flight *
                 std::min(base::to_seconds(settings_.settle) / query.mean_seconds, 1.0)
           : 0;
   const double available = std::max(room + ends, 0.0);
