--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -15,6 +15,7 @@
 
 #include "kingcupshunt/base/time.h"
 #include "kingcupshunt/fleet/cold_relay.h"
+#include "kingcupshunt/fleet/demand_sums.h"
 #include "kingcupshunt/fleet/document_log.h"
 #include "kingcupshunt/fleet/messages.h"
 #include "kingcupshunt/fleet/server_table.h"
@@ -140,6 +141,7 @@
     std::vector<failure_note> to_share;      ///< for the other relays
     std::vector<limit_note> limits;          ///< changed, for the entries that report here
     std::vector<limit_note> limits_to_share; ///< changed, for the other relays
+    demand_sums demands;
     rates::permit_issuer permits;
     std::map<std::string, std::string, std::less<>> limited_in;       ///< server to its data centre
     std::map<std::string, base::time_point, std::less<>> reported_at; ///< last report of each entry
--- a/include/kingcupshunt/fleet/messages.h
+++ b/include/kingcupshunt/fleet/messages.h
@@ -195,6 +195,14 @@
                      MSGPACK_NVP("w", is_wanted))
 };
 
+/// Requests of one rank that wait for a service: at one entry instance, or at all of a relay.
+struct demand_note {
+  std::string service;
+  std::uint32_t rank = 0;
+  std::uint32_t waiting = 0;
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("s", service), MSGPACK_NVP("r", rank), MSGPACK_NVP("n", waiting))
+};
+
 /// Load, failures and limits, in one of three messages: changed in-flight counts, new failures and
 /// changed limits of an entry instance since its last report (load_pulse); the sums over all entry
 /// instances of a relay, sent by the relay to each of them (load_total); or the failures and limits
@@ -206,8 +214,12 @@
   std::vector<limit_note> limits;
   std::vector<cold_note> cold{};
   std::uint64_t stamp = 0; ///< of an entry: its clock when it sent this; returned in permit_grant
+  /// Changed values, and those above 0 again at short intervals. Sent only by entries with fleet
+  /// admission; builds without it skip the member.
+  std::vector<demand_note> demands = {};
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", is_full), MSGPACK_NVP("l", loads), MSGPACK_NVP("f", failures),
-                     MSGPACK_NVP("m", limits), MSGPACK_NVP("c", cold), MSGPACK_NVP("t", stamp))
+                     MSGPACK_NVP("m", limits), MSGPACK_NVP("c", cold), MSGPACK_NVP("t", stamp),
+                     MSGPACK_NVP("d", demands))
 };
 
 struct server_permits {
--- a/include/kingcupshunt/settings/role_settings.h
+++ b/include/kingcupshunt/settings/role_settings.h
@@ -55,6 +55,7 @@
   listen_address metrics;
   std::size_t memory_bytes = 0; ///< the process is killed beyond this; 0: not known
   caller_memory_settings caller_memory;
+  bool has_fleet_admission = false; ///< entry: counts what waits at other entries
   role_bounds bounds;
 };
 
--- a/src/fleet/control_relay.cpp
+++ b/src/fleet/control_relay.cpp
@@ -15,6 +15,7 @@
   if (report.is_full) {
     remove_load(from);
   }
+  loads_.demands.apply(from, report.demands, now);
   for (const auto& load : report.loads) {
     auto& entries = loads_.by_server[load.server];
     if (load.in_flight == 0) {
@@ -142,11 +143,12 @@
 /// Sends the same message to all entries that report to this instance. The sums include the
 /// receiver's own load, which it can subtract.
 void control_core::flush_loads(base::time_point now) {
+  load_report out;
+  out.demands = loads_.demands.take(now);
   if (loads_.changed.empty() && loads_.failures.empty() && loads_.limits.empty() &&
-      !cold_.has_news()) {
+      !cold_.has_news() && out.demands.empty()) {
     return;
   }
-  load_report out;
   out.cold = cold_.take_news(now);
   for (const auto& server : loads_.changed) {
     const auto it = loads_.by_server.find(server);
