Number the evacuations by the log index of their entry

Cause: the number was counted up from the leader's own set. An instance that the former build compacted past an order starts without a set; as leader it acknowledged orders under numbers that other voters and entries dropped, and a finish as one already in force.

Change: the number is the index of the entry, given when it is applied. Entries name their number in each query, and orders get an unknown outcome (503) while one within 2 s is higher than the leader's. A leader without a set proposes a finish instead of confirming it.

--- a/include/kingcupshunt/fleet/document_log.h
+++ b/include/kingcupshunt/fleet/document_log.h
@@ -90,6 +90,10 @@
   void order(const evacuation_order& order, std::function<void(order_result)> done,
              base::time_point now);
 
+  /// An entry has named the number of its evacuations. While one names a higher number than that of
+  /// this instance, whose own set may be missing, orders are answered as unknown.
+  void note_evacuations(std::uint64_t number, base::time_point now);
+
   /// Linearizable read: calls `done` with the newest document, or null when this instance can't
   /// confirm that its document is the newest.
   void read(std::function<void(const versioned_document*)> done, base::time_point now);
@@ -128,6 +132,8 @@
   versioned_document current_;
   evacuation_set evacuations_;
   proposed_set proposed_;
+  std::uint64_t named_number_ = 0; ///< highest one that an entry named before named_until_
+  base::time_point named_until_{};
   std::multimap<std::uint64_t, waiting> pending_; ///< by log index
   consensus::replica replica_;                    ///< last member: its constructor calls the hooks
 };
--- a/include/kingcupshunt/fleet/evacuation.h
+++ b/include/kingcupshunt/fleet/evacuation.h
@@ -18,7 +18,9 @@
 
 /// The data centres whose servers get no requests, as ordered by operators.
 struct evacuation_set {
-  std::uint64_t number = 0;              ///< increases with each change; 0: no order was ever given
+  /// Log index of the entry that holds the set; 0: none is known. In an entry that is proposed or
+  /// stored: any other number than 0, replaced when the entry is applied.
+  std::uint64_t number = 0;
   std::vector<std::string> data_centres; ///< sorted, each once
 
   bool contains(std::string_view data_centre) const;
@@ -38,7 +40,7 @@
 /// Why no data centre can have this name; empty when one can.
 std::string_view fault_of_data_centre(std::string_view name);
 
-/// The set after `order`, under the next number.
+/// The set after `order`, under a number that is not 0.
 evacuation_set after(evacuation_set set, const evacuation_order& order);
 
 } // namespace kingcupshunt::fleet
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -228,6 +228,7 @@
   }
   e.is_cut_off = query.is_cut_off;
   e.received_at = now;
+  log_->note_evacuations(query.evacuations, now);
   const auto& replica = log_->log();
   entry_answer answer;
   answer.sequence = query.sequence;
--- a/src/fleet/document_log.cpp
+++ b/src/fleet/document_log.cpp
@@ -1,10 +1,17 @@
 #include "kingcupshunt/fleet/document_log.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
 namespace kingcupshunt::fleet {
 
+namespace {
+
+constexpr base::seconds named_number_retention{2}; // entries query every 500 ms; some get lost
+
+} // namespace
+
 document_log::document_log(consensus::replica_settings settings, document_log_hooks hooks,
                            consensus::recovered_state recovered, base::time_point now)
     : hooks_(std::move(hooks)),
@@ -71,14 +78,16 @@
 
 void document_log::order(const evacuation_order& order, std::function<void(order_result)> done,
                          base::time_point now) {
-  if (!replica_.is_ready()) {
+  const bool is_set_missing = evacuations_.number < named_number_ && now < named_until_;
+  if (!replica_.is_ready() || is_set_missing) {
     done(order_result::unknown);
     return;
   }
   const bool is_proposed =
       proposed_.term == replica_.term() && proposed_.index > replica_.applied_index();
   const auto& base = is_proposed ? proposed_.set : evacuations_;
-  const bool is_in_force = base.contains(order.data_centre) == order.is_start;
+  // Without a known set, other voters may hold one that this instance lost in the former build.
+  const bool is_in_force = base.number != 0 && base.contains(order.data_centre) == order.is_start;
   if (!is_in_force && order.is_start && base.data_centres.size() >= max_evacuations) {
     done(order_result::too_many);
     return;
@@ -105,8 +114,19 @@
   wait_for(index.value(), std::move(finish));
 }
 
+void document_log::note_evacuations(std::uint64_t number, base::time_point now) {
+  if (number > evacuations_.number) {
+    named_number_ = now < named_until_ ? std::max(named_number_, number) : number;
+    named_until_ = now + named_number_retention;
+  }
+}
+
 void document_log::on_entry(const consensus::entry& e) {
   if (auto content = peer::unpack<register_content>(e.payload)) {
+    if (content->evacuations.number != 0) {
+      // A leader whose own set is missing or older could count up to a number already used.
+      content->evacuations.number = e.index;
+    }
     take(std::move(*content));
   }
   for (auto it = pending_.find(e.index); it != pending_.end(); it = pending_.find(e.index)) {
