Keep the data centre of a server whose farewell states none

Cause: the record of a farewell may lack the data centre. It replaced the one that was known, so the server no longer counted as evacuated, and a request chosen before could still be sent to it.

Change: the record of a gone server keeps the former data centre when it has none of its own.

--- a/src/balance/server_board.cpp
+++ b/src/balance/server_board.cpp
@@ -48,14 +48,19 @@
   if (!s.record.service.empty() && s.record.service != record.service) {
     std::erase(services_[s.record.service].servers, &s);
   }
+  const bool is_gone = record.state == fleet::server_state::gone;
+  auto former = std::move(s.record.data_centre);
   s.record = record;
-  s.is_evacuated = evacuations_.contains(record.data_centre);
+  if (is_gone && record.data_centre.empty()) {
+    // A farewell may lack it; requests chosen before must still not be sent.
+    s.record.data_centre = std::move(former);
+  }
+  s.is_evacuated = evacuations_.contains(s.record.data_centre);
   if (is_new) {
     s.was_used = false;
     delay_due(s, now);
   }
   s.usable_until = record.is_restored ? now + settings_.restored_lifetime : base::time_point::max();
-  const bool is_gone = record.state == fleet::server_state::gone;
   if ((is_new || is_gone) && set_limit(s, std::nullopt)) {
     limits_.push_back({s.record.id, false, 0, s.record.data_centre});
   }
--- a/tests/balance/evacuation_test.cpp
+++ b/tests/balance/evacuation_test.cpp
@@ -120,6 +120,20 @@
   CHECK_FALSE(f.board.is_evacuated("fitting", f.now));
 }
 
+TEST_CASE("a farewell without a data centre does not end the evacuation of its server") {
+  // Guards against a request that was chosen before and is sent after the farewell.
+  two_data_centres f;
+  const auto chosen = f.board.begin({"fitting", 1, true, false}, {}, f.now);
+  REQUIRE(chosen);
+  f.board.set_evacuations({1, {"east", "west"}}, f.now);
+  auto gone = record(chosen.value().id, "");
+  gone.state = fleet::server_state::gone;
+  f.board.set_record(gone, f.now);
+  CHECK(f.board.is_server_evacuated(chosen.value().id));
+  f.board.set_evacuations({2, {"east", "north", "west"}}, f.now);
+  CHECK(f.board.is_server_evacuated(chosen.value().id));
+}
+
 TEST_CASE("a request that runs when the order comes ends undisturbed") {
   two_data_centres f;
   const auto chosen = f.board.begin({"fitting", 1, true, false}, {}, f.now);
