Confirm the leadership before an order is refused, and refuse names that are not UTF-8

Cause: the refusal of a 65th evacuation (409, which ends a call) came from the state of an instance that may have been replaced. Names that are not UTF-8 were accepted, and the status page, JSON, then threw. on_entry read the applied entry after a callback, which may make the log grow and move it.

Change: the refusal is confirmed by a quorum as an order in force is. Such names get 400, and the status page replaces such bytes. on_entry copies index and term first.

The status page with replaced bytes and the sanitized build are not run.

--- a/src/fleet/document_log.cpp
+++ b/src/fleet/document_log.cpp
@@ -88,18 +88,17 @@
   const auto& base = is_proposed ? proposed_.set : evacuations_;
   // Without a known set, other voters may hold one that this instance lost in the former build.
   const bool is_in_force = base.number != 0 && base.contains(order.data_centre) == order.is_start;
-  if (!is_in_force && order.is_start && base.data_centres.size() >= max_evacuations) {
-    done(order_result::too_many);
-    return;
-  }
-  auto finish = [done = std::move(done)](bool is_accepted) {
-    done(is_accepted ? order_result::accepted : order_result::unknown);
+  const bool is_too_many =
+      !is_in_force && order.is_start && base.data_centres.size() >= max_evacuations;
+  auto finish = [is_too_many, done = std::move(done)](bool is_confirmed) {
+    const auto result = is_too_many ? order_result::too_many : order_result::accepted;
+    done(is_confirmed ? result : order_result::unknown);
   };
-  if (is_in_force) {
+  if (is_in_force || is_too_many) {
     if (is_proposed) {
       wait_for(proposed_.index, std::move(finish));
     } else {
-      // A leader that was replaced without knowing it may have missed the opposite order.
+      // A leader that was replaced without knowing it may have missed other orders.
       replica_.read_index(std::move(finish), now);
     }
     return;
@@ -122,17 +121,20 @@
 }
 
 void document_log::on_entry(const consensus::entry& e) {
+  // A callback may propose an entry, which can move the entries of the log in memory.
+  const auto index = e.index;
+  const auto term = e.term;
   if (auto content = peer::unpack<register_content>(e.payload)) {
     if (content->evacuations.number != 0) {
       // A leader whose own set is missing or older could count up to a number already used.
-      content->evacuations.number = e.index;
+      content->evacuations.number = index;
     }
     take(std::move(*content));
   }
-  for (auto it = pending_.find(e.index); it != pending_.end(); it = pending_.find(e.index)) {
+  for (auto it = pending_.find(index); it != pending_.end(); it = pending_.find(index)) {
     const auto waiter = std::move(it->second);
     pending_.erase(it);
-    waiter.done(waiter.term == e.term);
+    waiter.done(waiter.term == term);
   }
 }
 
--- a/src/fleet/evacuation.cpp
+++ b/src/fleet/evacuation.cpp
@@ -2,8 +2,24 @@
 
 #include <algorithm>
 
+#include <nlohmann/json.hpp>
+
 namespace kingcupshunt::fleet {
 
+namespace {
+
+/// The JSON library refuses to write text that is not UTF-8.
+bool is_utf8(std::string_view text) {
+  try {
+    (void)nlohmann::json(text).dump();
+    return true;
+  } catch (const nlohmann::json::type_error&) {
+    return false;
+  }
+}
+
+} // namespace
+
 bool evacuation_set::contains(std::string_view data_centre) const {
   return std::ranges::binary_search(data_centres, data_centre);
 }
@@ -25,7 +41,10 @@
   }
   const bool has_control = std::ranges::any_of(
       name, [](char c) { return static_cast<unsigned char>(c) < ' ' || c == '\x7f'; });
-  return has_control ? "the name of the data centre has a control character" : "";
+  if (has_control) {
+    return "the name of the data centre has a control character";
+  }
+  return is_utf8(name) ? "" : "the name of the data centre is not UTF-8";
 }
 
 evacuation_set after(evacuation_set set, const evacuation_order& order) {
--- a/src/node/role_runtime.cpp
+++ b/src/node/role_runtime.cpp
@@ -73,7 +73,11 @@
   auto page = hooks_.status();
   page["id"] = settings.id;
   page["data_centre"] = settings.data_centre;
-  return {200, "application/json", page.dump(), {}};
+  // The own id and data centre, and sets of a former build, may have bytes that are not UTF-8.
+  return {200,
+          "application/json",
+          page.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
+          {}};
 }
 
 void role_runtime::send(std::string_view to, peer::message_kind kind, std::string body) {
