Let a withheld request wait for a free server

Cause: a request that was withheld before it was sent and found the other servers full was refused at once: the withheld server counted as tried, and with a tried server a lack of slots counts as permanent.

Change: a withheld request is no try and uses no retry budget. While another try of the request runs or has failed, that one decides what is next.

--- a/src/proxy/request_handler.h
+++ b/src/proxy/request_handler.h
@@ -68,6 +68,7 @@
   awaitable<bool> start_first_try();
   awaitable<bool> start_retry();
   awaitable<bool> try_after_shed(const health::attempt& last);
+  awaitable<bool> try_after_withheld(const std::string& server);
   awaitable<void> wait_for_crash_checks();
   void start_hedge();
   void start_checks(base::time_point now);
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -167,6 +167,11 @@
     const bool is_requeued = co_await try_after_shed(last);
     co_return is_requeued;
   }
+  if (last.end == attempt_end::cancelled) {
+    // Only a withheld try ends so and asks for another one.
+    const bool is_requeued = co_await try_after_withheld(last.upstream);
+    co_return is_requeued;
+  }
   const bool was_not_sent = last.end == attempt_end::connect_failed;
   const bool is_allowed =
       upstream_request_->is_resendable || (was_not_sent && !may_have_run_ && body_bytes_ == 0);
@@ -226,6 +231,42 @@
   }
 }
 
+/// A withheld request has used no server, so it needs no retry budget, and waits for a free server
+/// as a first try does.
+awaitable<bool> request_handler::try_after_withheld(const std::string& server) {
+  const auto before = std::exchange(failure_, std::nullopt);
+  for (bool is_first = true;; is_first = false) {
+    if (!has_time_before_stop()) {
+      failure_ = refused_by_stop();
+      co_return false;
+    }
+    const bool is_planned = co_await plan_try();
+    if (!is_planned) {
+      co_return false;
+    }
+    if (start_try()) {
+      co_return true;
+    }
+    // The first refusal may only mean that the other servers are full, since one is excluded.
+    const bool may_wait = is_first || (failure_ && failure_->is_transient);
+    const auto next = base::clock::now() + (is_first ? full_server_retry_delay : slot_retry_delay);
+    if (!may_wait || next >= auth_.deadline || caller_->is_disconnected || !has_tries_left()) {
+      if (!failure_) {
+        failure_ = before;
+      }
+      co_return false;
+    }
+    co_await wake_->wait_until(next);
+    failure_.reset();
+    // The hook refuses the server as long as it gets no requests.
+    std::erase(tried_, server);
+    for (const auto& id : full_servers_) {
+      std::erase(tried_, id);
+    }
+    full_servers_.clear();
+  }
+}
+
 void request_handler::start_hedge() {
   hedge_at_.reset();
   const auto failure = failure_;
@@ -330,6 +371,16 @@
     body_failure_ = refusal_of_body(body_state::timed_out);
   }
   report(*ended);
+  if (ended->was_withheld()) {
+    --tries_;
+    if (!active_tries_.empty() || last_failed_try_) {
+      return nullptr; // the other try decides what is next
+    }
+    failure_ = failed(503, "withheld", "the chosen backend server gets no requests any more",
+                      may_have_run_);
+    last_failed_try_ = ended->to_attempt(auth_, fingerprint_);
+    return nullptr;
+  }
   const bool is_unreached =
       ended->end() == attempt_end::shed || (!ended->was_sent() && !ended->had_no_connection());
   unreached_tries_ += is_unreached ? 1 : 0;
@@ -348,16 +399,6 @@
       start_try();
     }
     return nullptr;
-  } else if (ended->was_withheld()) {
-    failure_.reset(); // why no other server is picked, if so, says more
-    if (active_tries_.empty()) {
-      start_try();
-    }
-    if (!failure_) {
-      failure_ = failed(503, "withheld", "the chosen backend server gets no requests any more",
-                        may_have_run_);
-    }
-    return nullptr;
   } else {
     failure_ = refusal_of(ended->end(), may_have_run_);
   }
