Correct why on_entry copies the index and the term of an entry

Cause: the comments said that entries move when the log grows. The log is a deque, so growth leaves them in place; a compaction or truncation ends them.

Change: the comment and the purpose of the test are corrected. The test does not show the fault: with references instead of copies it passes under the address sanitizer too.

--- a/src/fleet/document_log.cpp
+++ b/src/fleet/document_log.cpp
@@ -121,7 +121,7 @@
 }
 
 void document_log::on_entry(const consensus::entry& e) {
-  // A callback may propose an entry, which can move the entries of the log in memory.
+  // A callback may lead to a compaction or truncation of the log, which owns the entry.
   const auto index = e.index;
   const auto term = e.term;
   if (auto content = peer::unpack<register_content>(e.payload)) {
--- a/tests/fleet/evacuation_test.cpp
+++ b/tests/fleet/evacuation_test.cpp
@@ -350,8 +350,7 @@
 }
 
 TEST_CASE("a caller may give the next order while an entry is applied") {
-  // Guards against a read of the applied entry after a callback made the log grow: a dangling
-  // reference, which the sanitized build reports, and waiters that are not called.
+  // Guards against waiters that are not called when a callback adds to the log and to the waiters.
   fleet_with_disks f(1);
   auto& log = *f.controls["c1"].log;
   int accepted = 0;
