--- a/src/balance/path_monitor.cpp
+++ b/src/balance/path_monitor.cpp
@@ -87,7 +87,7 @@
   }
 }
 
-void path_monitor::direct_connected(std::string_view server, base::time_point /*now*/) {
+void path_monitor::direct_connected(std::string_view server, base::time_point now) {
   clear_failures();
   switch (state_) {
   case path_state::direct:
@@ -100,6 +100,7 @@
     break;
   }
   evidence_.emplace(server);
+  probe_at_ = now; // confirms or refutes it with the next probe
   if (evidence_.size() >= settings_.recovery_evidence) {
     enter(path_state::direct);
   }
--- a/tests/balance/path_monitor_test.cpp
+++ b/tests/balance/path_monitor_test.cpp
@@ -82,7 +82,8 @@
   CHECK(path.is_cut_off());
   path.direct_failed("10.0.0.1", now += step);
   path.direct_connected("s2", now += step);
-  CHECK(path.is_cut_off()); // the success before the failure does not count
+  CHECK(path.is_cut_off());            // the success before the failure does not count
+  CHECK(path.next_probe(now += step)); // tested at once after a success
   path.direct_connected("s1", now += step);
   CHECK(path.state() == path_state::direct);
 }
