--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -48,6 +48,9 @@
   /// Random part of a cost. Without it, all instances that hold the same load reports would choose
   /// the same server until the next report.
   double jitter = 0.25;
+  /// With a relay in each data centre, chooses servers by the load expected until the next report
+  /// (`choose_by_expected_load`), not by the last reports.
+  bool has_expected_load = false;
   /// From a change of load at another instance until the total that contains it is applied here:
   /// both reports wait for a tick of up to 50 ms.
   base::duration report_delay = base::milliseconds(100);
@@ -230,8 +233,6 @@
   void apply_total(const fleet::load_report& total, base::time_point now);
   /// Clears the load of other instances when the relay changes. A relay of this data centre
   /// (`is_local`) reports only the load of this data centre, any other relay that of all instances.
-  /// Fleets with a relay in each data centre are large: servers are then chosen by the load
-  /// expected until the next report (`choose_by_expected_load`), otherwise by the last reports.
   void change_relay(bool is_local);
   /// Sets the number of instances whose load is reported here, including this one.
   void set_instances(double n) noexcept { instances_ = n; }
--- a/include/kingcupshunt/settings/role_settings.h
+++ b/include/kingcupshunt/settings/role_settings.h
@@ -56,6 +56,7 @@
   std::size_t memory_bytes = 0; ///< the process is killed beyond this; 0: not known
   caller_memory_settings caller_memory;
   bool has_fleet_admission = false; ///< entry: counts what waits at other entries
+  bool has_expected_load = false;   ///< entry: chooses servers by the expected load
   role_bounds bounds;
 };
 
--- a/src/balance/server_board_choice.cpp
+++ b/src/balance/server_board_choice.cpp
@@ -79,7 +79,7 @@
                                                   const board_request& request,
                                                   std::span<const std::string> tried,
                                                   base::time_point now, bool& is_busy) {
-  const bool has_expected_load = is_relay_local_;
+  const bool has_expected_load = settings_.has_expected_load && is_relay_local_;
   const auto n = of.servers.size();
   const bool is_sampled = has_expected_load && n > settings_.max_compared;
   const auto first = is_sampled ? rng_.below(n) : 0;
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -34,6 +34,7 @@
   out.data_centre = runtime.settings.data_centre;
   out.seed = runtime.seed;
   out.cold_bound = runtime.settings.bounds.cold;
+  out.has_expected_load = runtime.settings.has_expected_load;
   return out;
 }
 
--- a/tests/balance/expected_load_test.cpp
+++ b/tests/balance/expected_load_test.cpp
@@ -101,6 +101,7 @@
   board_settings settings;
   settings.data_centre = "a";
   settings.max_compared = 32;
+  settings.has_expected_load = true;
   server_board board(settings);
   const base::time_point now{base::seconds(100)};
   for (int i = 0; i < 1000; ++i) {
@@ -130,6 +131,7 @@
   board_settings settings;
   settings.data_centre = "a";
   settings.jitter = 0;
+  settings.has_expected_load = true;
   server_board board(settings);
   const base::time_point now{base::seconds(100)};
   for (const auto* id : {"s0", "s1", "s2"}) {
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -204,6 +204,9 @@
   CHECK(parse_settings(all.dump()).value().has_fleet_admission);
   all["fleet_admission"] = false;
   CHECK(!parse_settings(all.dump()).value().has_fleet_admission);
+  CHECK(!s.value().has_expected_load);
+  all["expected_load"] = true;
+  CHECK(parse_settings(all.dump()).value().has_expected_load);
   all["listen"]["front"] = "10.1.0.5";
   CHECK(!parse_settings(all.dump()));
   CHECK(!parse_settings("{"));
--- a/tests/support/stale_load_fleet.h
+++ b/tests/support/stale_load_fleet.h
@@ -135,6 +135,7 @@
     balance::board_settings out;
     out.data_centre = "a";
     out.seed = s.seed * 1000 + i;
+    out.has_expected_load = true; // in effect with a relay of one data centre
     return out;
   }
 
