--- a/src/node/traffic_hooks.cpp
+++ b/src/node/traffic_hooks.cpp
@@ -3,6 +3,7 @@
 #include "kingcupshunt/base/hash.h"
 #include "kingcupshunt/config/route_parts.h"
 #include "kingcupshunt/settings/process_settings.h"
+#include "request_facts.h"
 #include "traffic.h"
 
 namespace kingcupshunt::node {
@@ -14,11 +15,6 @@
 
 constexpr base::milliseconds busy_retry_after{200};
 
-refusal not_run(unsigned status, std::string reason, std::string message,
-                std::optional<base::milliseconds> retry_after = std::nullopt) {
-  return {status, std::move(reason), std::move(message), ran_state::no, retry_after};
-}
-
 refusal refusal_of(const rates::rate_refusal& r) {
   switch (r.reason) {
   case rates::refusal_reason::over_rate:
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -479,26 +479,4 @@
   co_return !ec;
 }
 
-health::attempt exchange::to_attempt(const authorized_request& request,
-                                     std::uint64_t fingerprint) const {
-  health::attempt a;
-  a.service = request.service->name;
-  a.route = request.route->name;
-  a.upstream = target_.id;
-  a.end = end_;
-  a.status = parser_ ? answer().result_int() : 0;
-  a.first_byte = std::max(first_byte_, base::duration{});
-  a.total = total_;
-  a.fingerprint = fingerprint;
-  a.was_reused = was_reused_;
-  a.limit = limit_;
-  a.server_limit = server_limit_;
-  a.is_leaving = is_leaving_;
-  a.pause = pause_;
-  if (cold_until_) {
-    a.cold_left = std::max(*cold_until_ - base::clock::now(), base::duration{});
-  }
-  return a;
-}
-
 } // namespace kingcupshunt::proxy
--- a/src/proxy/exchange_notices.cpp
+++ b/src/proxy/exchange_notices.cpp
@@ -2,6 +2,8 @@
 
 #include "exchange.h"
 
+#include <algorithm>
+
 #include "kingcupshunt/proxy/head_checks.h"
 
 namespace kingcupshunt::proxy {
@@ -65,4 +67,26 @@
   cold_until_ = base::clock::now() + *left;
 }
 
+health::attempt exchange::to_attempt(const authorized_request& request,
+                                     std::uint64_t fingerprint) const {
+  health::attempt a;
+  a.service = request.service->name;
+  a.route = request.route->name;
+  a.upstream = target_.id;
+  a.end = end_;
+  a.status = parser_ ? answer().result_int() : 0;
+  a.first_byte = std::max(first_byte_, base::duration{});
+  a.total = total_;
+  a.fingerprint = fingerprint;
+  a.was_reused = was_reused_;
+  a.limit = limit_;
+  a.server_limit = server_limit_;
+  a.is_leaving = is_leaving_;
+  a.pause = pause_;
+  if (cold_until_) {
+    a.cold_left = std::max(*cold_until_ - base::clock::now(), base::duration{});
+  }
+  return a;
+}
+
 } // namespace kingcupshunt::proxy
--- a/tests/balance/expected_load_test.cpp
+++ b/tests/balance/expected_load_test.cpp
@@ -96,6 +96,21 @@
   check_even_load(base::milliseconds(300));
 }
 
+namespace {
+
+fleet::server_record record(const std::string& id, const std::string& data_centre) {
+  fleet::server_record out;
+  out.id = id;
+  out.service = "fitting";
+  out.address = "10.0.0.1:80";
+  out.data_centre = data_centre;
+  out.slots = 2;
+  out.started_ms = 1;
+  return out;
+}
+
+} // namespace
+
 // Guards against work for one request that grows with the size of a service without bound.
 TEST_CASE("a bounded number of servers is compared for a request") {
   board_settings settings;
@@ -105,14 +120,8 @@
   server_board board(settings);
   const base::time_point now{base::seconds(100)};
   for (int i = 0; i < 1000; ++i) {
-    fleet::server_record r;
-    r.id = "s" + std::to_string(i);
-    r.service = "fitting";
-    r.address = "10.0.0.1:80";
-    r.data_centre = "b"; // of unknown load, so that no request is due there
-    r.slots = 2;
-    r.started_ms = 1;
-    board.set_record(r, now);
+    // In a data centre of unknown load, so that no request is due there.
+    board.set_record(record("s" + std::to_string(i), "b"), now);
   }
   board.change_relay(true);
   std::map<std::string, int> chosen;
@@ -135,14 +144,7 @@
   server_board board(settings);
   const base::time_point now{base::seconds(100)};
   for (const auto* id : {"s0", "s1", "s2"}) {
-    fleet::server_record r;
-    r.id = id;
-    r.service = "fitting";
-    r.address = "10.0.0.1:80";
-    r.data_centre = "a";
-    r.slots = 2;
-    r.started_ms = 1;
-    board.set_record(r, now);
+    board.set_record(record(id, "a"), now);
   }
   board.change_relay(true);
   board.change_relay(false);
