Case 8 watches for 95 s, case 9 ends within 120 s in any event

Cause: in one of six runs of 40 s only one machine had ended three times; orders in progress at the end of case 9 could have taken it beyond 120 s.

--- a/review/standins-2/many_changes.cpp
+++ b/review/standins-2/many_changes.cpp
@@ -8,7 +8,7 @@
 constexpr int many_routes = 3600; ///< a config of 778 KB, which is just accepted
 constexpr int few_routes = 8;
 constexpr double memory_mb = 256; ///< of a core machine, as in its settings
-constexpr double run_s = 108;
+constexpr double run_s = 106;
 constexpr int operators = 8; ///< orders in progress
 
 std::string config(int version) {
@@ -80,7 +80,7 @@
         bool is_acked =
             call_control(node, "config.replace", config(v), 4000, &answered_by).status() == 200;
         node = is_acked ? answered_by : node;
-        is_acked = is_acked || replace_config(d.cores(), config(v), 10, 4000);
+        is_acked = is_acked || replace_config(d.cores(), config(v), 3, 4000);
         acked += is_acked ? 1 : 0;
         if (v % 20 == 0) {
           record.line("change r%d %s", v, is_acked ? "acknowledged" : "without an ack");
--- a/review/standins-2/server_limit.cpp
+++ b/review/standins-2/server_limit.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr double memory_mb = 256; ///< of a core machine, as in its settings
-constexpr double observe_s = 40;
+constexpr double observe_s = 95;
 const char* const limit = "10000000"; ///< requests a second
 
 double resident_mb(pid_t pid) {
