--- a/tests/process/entry_process.h
+++ b/tests/process/entry_process.h
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -18,14 +19,16 @@
 #include "support/child_process.h"
 #include "support/fleet.h"
 #include "support/network_claim.h"
+#include "watched_process.h"
 
 namespace kingcupshunt::testing {
 
-/// A backend server on its own thread. "/read/N" is answered with N bytes.
+/// A backend server on its own thread. "/read/N" is answered with N bytes. It reads a body whole
+/// before it answers.
 class sized_backend {
 public:
   sized_backend(const std::string& address, std::uint16_t port)
-      : server_(io_, {address, port},
+      : server_(io_, settings(address, port),
                 [](const auto& request, const auto& done) {
                   std::size_t size = 2;
                   const auto digits = request.path.rfind('/') + 1;
@@ -48,11 +51,27 @@
   sized_backend& operator=(const sized_backend&) = delete;
 
 private:
+  static control::http_server_settings settings(const std::string& address, std::uint16_t port) {
+    control::http_server_settings out;
+    out.address = address;
+    out.port = port;
+    out.body_memory = std::size_t{256} << 20U;
+    return out;
+  }
+
   boost::asio::io_context io_;
   control::http_server server_;
   std::thread thread_;
 };
 
+/// Limits that a test lowers for both processes, and the configuration that it needs.
+struct process_limits {
+  int memory_mb = 64;
+  int max_fds = 0;        ///< descriptors; 0: not stated
+  int time_limit_s = 10;  ///< of all routes; clients hold what they have sent for so long
+  std::size_t routes = 0; ///< beside those that requests take
+};
+
 /// One entry process with a low memory limit, one control process and one backend server.
 class entry_process {
 public:
@@ -62,7 +81,8 @@
   /// One descriptor for each 32 KiB of the stated memory.
   static constexpr std::size_t most_descriptors = std::size_t{memory_mb} * 32;
 
-  entry_process() : backend_(address(9), 9000) {
+  explicit entry_process(const process_limits& limits = {})
+      : limits_(limits), backend_(address(9), 9000) {
     auto name = (std::filesystem::temp_directory_path() / "kcs-entry-XXXXXX").string();
     REQUIRE(mkdtemp(name.data()) != nullptr);
     folder_ = name;
@@ -85,8 +105,9 @@
     entry.directory.clear();
     entry.entry = address(2) + ":8405";
     entry.readiness = address(2) + ":8406";
-    control_.emplace(start("control", control));
-    entry_.emplace(start("entry", entry));
+    control_.emplace(start("control", control), control.id);
+    entry_settings_ = entry;
+    entry_.emplace(start("entry", entry), entry.id);
     REQUIRE(wait_until([&] { return call(soak::wire::replace_target(), configuration()) == 200; }));
     REQUIRE(wait_until([&] { return is_serving(); }));
   }
@@ -109,39 +130,37 @@
   std::string entry_address() const { return address(2); }
   static constexpr std::uint16_t entry_port = 8405;
 
-  bool is_alive() { return !entry_->has_ended(); }
-
-  /// Peak of the resident memory.
-  std::size_t peak_resident_kb() const {
-    std::ifstream file(proc("status"));
-    std::string line;
-    while (std::getline(file, line)) {
-      if (line.starts_with("VmHWM:")) {
-        return std::strtoul(line.c_str() + 6, nullptr, 10);
-      }
+  static constexpr std::uint16_t readiness_port = 8406;
+  std::string control_address() const { return address(1); }
+  static constexpr std::uint16_t control_port = 8407;
+  static constexpr std::uint16_t directory_port = 8408;
+  /// Of both processes.
+  static constexpr std::uint16_t peer_port = 7660;
+  static constexpr std::uint16_t tunnel_port = 7661;
+  static constexpr std::uint16_t metrics_port = 9464;
+
+  /// Addresses of callers, eight of them.
+  std::vector<std::string> caller_addresses() const {
+    std::vector<std::string> out;
+    for (int net = 0; net < 8; ++net) {
+      out.push_back(address(1, net));
     }
-    return 0;
+    return out;
   }
 
-  std::size_t descriptors() const {
-    std::error_code ec;
-    std::size_t n = 0;
-    for (std::filesystem::directory_iterator it(proc("fd"), ec), end; !ec && it != end;
-         it.increment(ec)) {
-      ++n;
-    }
-    return n;
+  /// Kills the entry and starts it anew.
+  void restart_entry() {
+    entry_.reset();
+    entry_.emplace(start("entry", entry_settings_), address(2));
   }
 
-  /// Waits until the entry has handled what was sent to it and uses little time.
-  void wait_until_settled() const {
-    auto before = processor_ticks();
-    wait_until([&] {
-      std::this_thread::sleep_for(std::chrono::milliseconds(500));
-      const auto now = processor_ticks();
-      return now - std::exchange(before, now) <= 5;
-    });
-  }
+  watched_process& entry() { return *entry_; }
+  watched_process& control() { return *control_; }
+
+  bool is_alive() { return entry_->is_alive(); }
+  std::size_t peak_resident_kb() const { return entry_->peak_resident_kb(); }
+  std::size_t descriptors() const { return entry_->descriptors(); }
+  void wait_until_settled() const { entry_->wait_until_settled(); }
 
   /// True when the server announces itself and an ordinary request is answered.
   bool is_serving() {
@@ -156,7 +175,10 @@
   child_process start(const std::string& role, const soak::wire::node_settings& s) {
     const auto file = (folder_ / (role + ".json")).string();
     auto all = nlohmann::json::parse(soak::wire::to_text(s));
-    all["limits"]["memory_mb"] = memory_mb;
+    all["limits"]["memory_mb"] = limits_.memory_mb;
+    if (limits_.max_fds > 0) {
+      all["limits"]["max_fds"] = limits_.max_fds;
+    }
     std::ofstream(file) << all.dump(2);
     return child_process({KINGCUPSHUNT_PROGRAM, role}, (folder_ / (role + ".log")).string(),
                          {std::string(soak::wire::settings_variable) + "=" + file});
@@ -179,17 +201,27 @@
     call(soak::wire::heartbeat_target("s-1"), soak::wire::to_text(h));
   }
 
-  /// Clients hold what they have sent for up to 10 s.
-  static std::string configuration() {
+  static constexpr const char* upload_route = "upload";
+
+  std::string configuration() const {
     soak::wire::configuration c;
     c.version = 1;
-    c.time_limit_s = 10;
-    c.routes = {{"read", "/read", "shop", true, 1}, {"write", "/write", "shop", false, 1}};
+    c.time_limit_s = limits_.time_limit_s;
+    c.routes = {{"read", "/read", "shop", true, 1},
+                {"write", "/write", "shop", false, 1},
+                {upload_route, "/upload", "shop", false, 1}};
+    for (std::size_t i = 0; i < limits_.routes; ++i) {
+      const auto name = "spare-" + std::to_string(i);
+      c.routes.push_back({name, "/" + name, "shop", true, 1});
+    }
     c.services = {"shop"};
     auto all = nlohmann::json::parse(soak::wire::to_text(c));
     for (auto& it : all["resources"]) {
       if (it["type"] == "routes") {
         it["spec"]["public"] = true;
+        if (it["metadata"]["name"] == upload_route) {
+          it["spec"]["kind"] = "upload";
+        }
       } else if (it["type"] == "limits") {
         it["spec"]["max_body_bytes"] = 64 << 20;
         it["spec"]["header_timeout_s"] = 10;
@@ -198,30 +230,13 @@
     return all.dump();
   }
 
-  std::filesystem::path proc(const char* file) const {
-    return std::filesystem::path("/proc") / std::to_string(entry_->id()) / file;
-  }
-
-  unsigned long processor_ticks() const {
-    std::ifstream file(proc("stat"));
-    std::string text;
-    std::getline(file, text);
-    std::istringstream fields(text.substr(std::min(text.size(), text.rfind(')') + 1)));
-    std::string skipped;
-    for (int i = 3; i < 14; ++i) { // utime is the fourteenth field of proc(5)
-      fields >> skipped;
-    }
-    unsigned long user = 0;
-    unsigned long system = 0;
-    fields >> user >> system;
-    return user + system;
-  }
-
   network_claim claim_;
+  process_limits limits_;
+  soak::wire::node_settings entry_settings_;
   std::filesystem::path folder_;
   sized_backend backend_;
-  std::optional<child_process> control_;
-  std::optional<child_process> entry_;
+  std::optional<watched_process> control_;
+  std::optional<watched_process> entry_;
   std::uint64_t sequence_ = 0;
 };
 
