--- /dev/null
+++ b/tests/process/uncontrolled_calls_test.cpp
@@ -0,0 +1,140 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <csignal>
+
+#include "crowd.h"
+#include "entry_process.h"
+
+using namespace kingcupshunt;
+using testing::crowd;
+using testing::entry_process;
+using testing::process_limits;
+using testing::wait_until;
+using testing::watched_process;
+
+// Clients of the ports beside the entry's own: the directory, control, readiness, the metrics and
+// the ports between instances. One client could fill each of them, and their sockets held more
+// bytes than the process may use.
+
+namespace {
+
+constexpr std::size_t many = 1200; // more than a port takes
+
+/// The peaks of a process while a crowd sends.
+struct peaks {
+  explicit peaks(watched_process& p) : process(p) {}
+  void measure() {
+    held_kb = std::max(held_kb, process.resident_kb() + process.unread_kb());
+    descriptors = std::max(descriptors, process.descriptors());
+  }
+  watched_process& process;
+  std::size_t held_kb = 0; ///< resident, and arrived but not read
+  std::size_t descriptors = 0;
+};
+
+/// All clients from one address.
+struct port_crowd {
+  port_crowd(entry_process& e, watched_process& p, std::uint16_t port, std::size_t n,
+             const std::string& text)
+      : peak(p), clients({{e.caller_addresses().front()}, p.address(), port}, n, text) {
+    clients.send_all([this] { peak.measure(); });
+    p.wait_until_settled();
+    peak.measure();
+  }
+  peaks peak;
+  crowd clients;
+};
+
+std::string unfinished_head(std::size_t size) {
+  return "GET / HTTP/1.1\r\nHost: a\r\nPadding: " + std::string(size, 'p');
+}
+
+/// A chunked call whose last chunk is missing.
+std::string unfinished_call(const std::string& target, std::size_t body) {
+  std::string out = "POST " + target + " HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  constexpr std::size_t chunk = 0x4000;
+  for (std::size_t n = 0; n < body; n += chunk) {
+    out += "4000\r\n" + std::string(chunk, 'b') + "\r\n";
+  }
+  return out;
+}
+
+bool is_answered(const std::string& address, std::uint16_t port, const std::string& method,
+                 const std::string& target) {
+  const auto answer = control::call(address + ":" + std::to_string(port), method, target, "",
+                                    base::milliseconds(2000));
+  return answer && answer.value().status == 200;
+}
+
+/// An ordinary call of each port is answered within 20 s; an idle connection stays for 30 s.
+void check_directory(const entry_process& e) {
+  CHECK(wait_until([&] {
+    return is_answered(e.control_address(), entry_process::directory_port, "GET",
+                       soak::wire::resolve_target());
+  }));
+}
+
+void check_control(const entry_process& e) {
+  CHECK(wait_until([&] {
+    return is_answered(e.control_address(), entry_process::control_port, "POST",
+                       soak::wire::read_target());
+  }));
+}
+
+void check_readiness(const entry_process& e) {
+  CHECK(wait_until([&] {
+    return is_answered(e.entry_address(), entry_process::readiness_port, "GET", "/-/ready");
+  }));
+}
+
+void check_metrics(const std::string& address) {
+  CHECK(wait_until(
+      [&] { return is_answered(address, entry_process::metrics_port, "GET", "/metrics"); }));
+}
+
+void check_processes(entry_process& e) {
+  CHECK(e.control().is_alive());
+  CHECK(e.entry().is_alive());
+  CHECK(wait_until([&] { return e.is_serving(); }));
+}
+
+} // namespace
+
+TEST_CASE("one client that fills a port with connections leaves it to others") {
+  entry_process e;
+  SUBCASE("directory, idle") {
+    const port_crowd c(e, e.control(), entry_process::directory_port, many, "");
+    check_directory(e);
+  }
+  SUBCASE("directory, unfinished heads") {
+    const port_crowd c(e, e.control(), entry_process::directory_port, many, unfinished_head(10));
+    check_directory(e);
+  }
+  SUBCASE("control, idle") {
+    const port_crowd c(e, e.control(), entry_process::control_port, many, "");
+    check_control(e);
+  }
+  SUBCASE("control, unfinished bodies") {
+    const port_crowd c(e, e.control(), entry_process::control_port, many,
+                       unfinished_call(soak::wire::replace_target(), 0x4000));
+    check_control(e);
+  }
+  SUBCASE("readiness, idle") {
+    const port_crowd c(e, e.entry(), entry_process::readiness_port, many, "");
+    check_readiness(e);
+  }
+  SUBCASE("readiness, unfinished heads") {
+    const port_crowd c(e, e.entry(), entry_process::readiness_port, many, unfinished_head(10));
+    check_readiness(e);
+  }
+  SUBCASE("metrics of an entry, idle") {
+    const port_crowd c(e, e.entry(), entry_process::metrics_port, many, "");
+    check_metrics(e.entry_address());
+  }
+  SUBCASE("metrics of a control instance, idle") {
+    const port_crowd c(e, e.control(), entry_process::metrics_port, many, "");
+    check_metrics(e.control_address());
+  }
+  check_processes(e);
+}
