The ports of a process divide its memory and descriptors

What was seen: 1,200 callers that stop within calls made a control process with memory_mb 64 hold 127 to 157 MB, most of it bytes that had arrived and were not read, which count toward the memory of its machine; an entry's readiness and metrics ports did the same. With max_fds 600 both processes opened 4,015 descriptors.

Cause: each port had numbers of its own (1,024 connections, 32 MiB of bodies, 8,192 instances, 2,000 tunnels) that neither memory_mb nor max_fds nor another port knew of, and no budget counted the system's receive buffers.

Receive buffers of callers, of servers and of tunnels are set from their share of the memory. Directory, readiness and metrics take no bodies. Connections to all servers together are limited, and the longest idle one gives way.

The case "the number of connections of all callers is limited" had an idle first connection and expected the second to be refused. It is replaced by two: with a request under way on the first, the second is refused with the same checks and the first is still answered; an idle first one is closed and the second is served.

--- a/include/kingcupshunt/node/control_node.h
+++ b/include/kingcupshunt/node/control_node.h
@@ -27,7 +27,7 @@
 public:
   /// Opens the data folder and the peer listener. The error is a one-line message for operators.
   static base::result<std::unique_ptr<control_node>, std::string>
-  open(settings::role_settings settings, control_node_hooks hooks);
+  open(const settings::role_settings& settings, control_node_hooks hooks);
   ~control_node();
   control_node(const control_node&) = delete;
   control_node& operator=(const control_node&) = delete;
--- a/include/kingcupshunt/node/entry_node.h
+++ b/include/kingcupshunt/node/entry_node.h
@@ -23,7 +23,7 @@
 public:
   /// Opens the listeners. The error is a one-line message for operators.
   static base::result<std::unique_ptr<entry_node>, std::string>
-  open(settings::role_settings settings, proxy::wire_names names, entry_node_hooks hooks);
+  open(const settings::role_settings& settings, proxy::wire_names names, entry_node_hooks hooks);
   ~entry_node();
   entry_node(const entry_node&) = delete;
   entry_node& operator=(const entry_node&) = delete;
--- a/include/kingcupshunt/proxy/entry_settings.h
+++ b/include/kingcupshunt/proxy/entry_settings.h
@@ -10,13 +10,16 @@
 
 namespace kingcupshunt::proxy {
 
+/// Least memory of a caller's connection, with its smallest read buffer.
+inline constexpr std::size_t connection_bytes = std::size_t{8} * 1024;
+
 /// Limits of the entry. Timeouts are upper bounds; a request's own deadline may be earlier.
 struct entry_settings {
   std::string address = "127.0.0.1"; ///< IP address to listen on
   std::uint16_t port = 0;            ///< 0: any free port
 
-  std::size_t max_connections = 10000;                 ///< open caller connections
-  std::size_t max_connections_per_caller = 1000;       ///< open connections of one IP address
+  std::size_t max_connections = 10000;           ///< open caller connections; idle ones give way
+  std::size_t max_connections_per_caller = 1000; ///< open connections of one IP address
   std::size_t max_head_bytes = std::size_t{16} * 1024; ///< request line and headers
   std::size_t max_header_fields = 100;                 ///< header fields of one request
   std::size_t max_answer_head_bytes =
@@ -56,6 +59,11 @@
 
   /// Open connections to one upstream: its 330 connections divided among 17 instances.
   std::size_t connections_per_upstream = 19;
+  std::size_t max_upstream_connections = 0; ///< to all upstreams together; 0: not limited
+  /// Receive buffers of connections, bytes; 0: the system's. Bytes in them count toward the memory
+  /// of the process.
+  int caller_receive_bytes = 0;
+  int upstream_receive_bytes = 0;
   base::milliseconds connect_timeout{1000}; ///< TCP connection to an upstream
   /// Direct connection attempt, before the connection is attempted through another instance.
   base::milliseconds direct_head_start{100};
@@ -72,4 +80,9 @@
   wire_names names;
 };
 
+/// Connections for which max_caller_memory_bytes suffices: they take up to half of it.
+constexpr std::size_t most_connections_of(const entry_settings& s) {
+  return s.max_caller_memory_bytes / 2 / connection_bytes;
+}
+
 } // namespace kingcupshunt::proxy
--- a/include/kingcupshunt/proxy/tunnel_server.h
+++ b/include/kingcupshunt/proxy/tunnel_server.h
@@ -20,7 +20,8 @@
   std::string address; ///< IP address to listen on
   std::uint16_t port = 0;
   peer::handshake_settings handshake;
-  std::size_t max_tunnels = 2000;                           ///< of two descriptors each
+  std::size_t max_tunnels = 2000; ///< of two descriptors each
+  int receive_bytes = 0;          ///< receive buffer of each connection; 0: the system's
   base::duration open_timeout = base::seconds(1);           ///< from accept to the request
   base::duration connect_timeout = base::milliseconds(200); ///< to the backend server
   base::duration idle_timeout = base::seconds(30);          ///< without a byte in either direction
--- a/include/kingcupshunt/settings/role_settings.h
+++ b/include/kingcupshunt/settings/role_settings.h
@@ -54,6 +54,7 @@
   listen_address tunnel;          ///< entry: other entries that cannot reach backend servers
   listen_address metrics;
   std::size_t memory_bytes = 0; ///< the process is killed beyond this; 0: not known
+  std::size_t descriptors = 0;  ///< that the process may open; 0: not known
   caller_memory_settings caller_memory;
   bool has_fleet_admission = false; ///< entry: counts what waits at other entries
   bool has_expected_load = false;   ///< entry: chooses servers by the expected load
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -29,17 +29,15 @@
 /// Election timeout of a process that has just started. It can be short without deposing a leader,
 /// since instances that receive heartbeats of a leader grant no vote.
 constexpr base::milliseconds first_election_timeout{150};
-/// Share of the process's memory for the bodies of calls. The rest is for the log, the documents
-/// and the connections.
-constexpr std::size_t body_memory_divisor = 8;
 constexpr const char* servers_file = "servers";
 constexpr base::seconds servers_write_interval{1};
 
 } // namespace
 
 struct control_node::impl {
-  impl(settings::role_settings s, control_node_hooks h)
-      : hooks(std::move(h)), runtime(std::move(s), make_role_hooks()) {}
+  impl(const settings::role_settings& s, control_node_hooks h)
+      : hooks(std::move(h)),
+        runtime(s, make_role_hooks(), settings::control_limits_of(s, most_descriptors())) {}
 
   role_hooks make_role_hooks();
   base::result<void, std::string> open();
@@ -323,8 +321,8 @@
 control_node::~control_node() = default;
 
 base::result<std::unique_ptr<control_node>, std::string>
-control_node::open(settings::role_settings settings, control_node_hooks hooks) {
-  auto made = std::make_unique<impl>(std::move(settings), std::move(hooks));
+control_node::open(const settings::role_settings& settings, control_node_hooks hooks) {
+  auto made = std::make_unique<impl>(settings, std::move(hooks));
   if (auto opened = made->open(); !opened) {
     return opened.error();
   }
@@ -333,15 +331,15 @@
 
 void control_node::set_handlers(control::http_handler control, control::http_handler directory) {
   const auto& s = impl_->runtime.settings;
+  const auto& ports = impl_->runtime.ports;
   control::http_server_settings calls{s.control.address, s.control.port};
-  if (s.memory_bytes > 0) {
-    calls.body_memory = s.memory_bytes / body_memory_divisor;
-  }
+  calls.connections = ports.control;
+  calls.body_memory = ports.call_memory;
+  calls.answer_memory = ports.call_memory;
   impl_->control_server =
       std::make_unique<control::http_server>(impl_->runtime.io, calls, std::move(control));
   impl_->directory_server = std::make_unique<control::http_server>(
-      impl_->runtime.io, control::http_server_settings{s.directory.address, s.directory.port},
-      std::move(directory));
+      impl_->runtime.io, port_for_reading(s.directory, ports.directory), std::move(directory));
 }
 
 fleet::control_core& control_node::core() noexcept {
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <sys/resource.h>
-
 #include "entry_traffic.h"
 #include "kingcupshunt/observe/event_log.h"
 #include "kingcupshunt/proxy/entry_server.h"
@@ -31,7 +29,11 @@
 constexpr std::size_t max_replay_bytes = std::size_t{1} << 20U;
 /// The rest of the process's memory is for connections, their kernel buffers and the server table.
 constexpr std::size_t answer_memory_divisor = 8;
-constexpr std::size_t max_caller_connections = 8000; // of 9,840 file descriptors
+/// Shares of the process's memory for bytes that the system has received from callers, from servers
+/// and on tunnels, and that are not read yet.
+constexpr std::size_t caller_receive_divisor = 4;
+constexpr std::size_t upstream_receive_divisor = 8;
+constexpr std::size_t tunnel_receive_divisor = 16;
 /// Two bodies of the greatest size that is held whole, also in a process with little memory.
 constexpr double least_caller_memory = 4.0 * static_cast<double>(max_replay_bytes);
 constexpr base::seconds max_request_time{120};
@@ -44,23 +46,17 @@
   return out;
 }
 
-/// One descriptor in six is left for connections to servers and other instances.
-std::size_t most_connections() {
-  rlimit limit{};
-  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
-    return max_caller_connections;
-  }
-  return std::min<std::size_t>(max_caller_connections, limit.rlim_cur / 6 * 5);
-}
-
-proxy::entry_settings entry_settings_of(const settings::role_settings& s, proxy::wire_names names) {
+proxy::entry_settings entry_settings_of(const settings::role_settings& s,
+                                        const settings::port_limits& ports,
+                                        proxy::wire_names names) {
   proxy::entry_settings out;
   out.address = s.entry.address;
   out.port = s.entry.port;
-  out.max_connections = most_connections();
+  out.max_connections = ports.callers;
+  out.max_upstream_connections = ports.upstreams;
   out.single_caller_share = s.caller_memory.single_share;
   out.least_body_rate = s.caller_memory.least_body_rate;
-  out.max_connections_per_caller = max_caller_connections; // callers may share an address
+  out.max_connections_per_caller = ports.callers; // callers may share an address
   out.max_replay_bytes = max_replay_bytes;
   out.must_read_chunked_whole = true;
   out.max_stored_answer_bytes = max_replay_bytes;
@@ -68,6 +64,11 @@
     out.max_answer_memory_bytes = s.memory_bytes / answer_memory_divisor;
     out.max_caller_memory_bytes = static_cast<std::size_t>(
         std::max(static_cast<double>(s.memory_bytes) * s.caller_memory.share, least_caller_memory));
+    out.caller_receive_bytes =
+        settings::receive_buffer_of(s.memory_bytes / caller_receive_divisor,
+                                    std::min(ports.callers, proxy::most_connections_of(out)));
+    out.upstream_receive_bytes =
+        settings::receive_buffer_of(s.memory_bytes / upstream_receive_divisor, ports.upstreams);
   }
   out.total_timeout = max_request_time;
   out.connect_timeout = connect_timeout;
@@ -83,8 +84,9 @@
 } // namespace
 
 struct entry_node::impl {
-  impl(settings::role_settings s, proxy::wire_names n, entry_node_hooks h)
-      : names(std::move(n)), hooks(std::move(h)), runtime(std::move(s), make_role_hooks()),
+  impl(const settings::role_settings& s, proxy::wire_names n, entry_node_hooks h)
+      : names(std::move(n)), hooks(std::move(h)),
+        runtime(s, make_role_hooks(), settings::entry_limits_of(s, most_descriptors())),
         link(link_settings(), link_hooks()),
         traffic(runtime, link, [this] { entry->discard_upstream_connections(); }),
         stop_timer(runtime.io) {}
@@ -185,19 +187,23 @@
   }
   const auto& s = runtime.settings;
   link.set_seeds(s.seeds);
-  entry = std::make_unique<proxy::entry_server>(runtime.io, entry_settings_of(s, names),
+  const auto& ports = runtime.ports;
+  entry = std::make_unique<proxy::entry_server>(runtime.io, entry_settings_of(s, ports, names),
                                                 traffic.make_hooks(), runtime.metrics);
   if (s.tunnel.port != 0) {
     proxy::tunnel_server_settings tunnel;
     tunnel.address = s.tunnel.address;
     tunnel.port = s.tunnel.port;
     tunnel.handshake = handshake_of(s);
+    tunnel.max_tunnels = ports.tunnels;
+    tunnel.receive_bytes =
+        settings::receive_buffer_of(s.memory_bytes / tunnel_receive_divisor, 2 * ports.tunnels);
     tunnels = std::make_unique<proxy::tunnel_server>(
         runtime.io, std::move(tunnel),
         [this](const std::string& server) { return traffic.address_of(server); }, runtime.metrics);
   }
   readiness = std::make_unique<control::http_server>(
-      runtime.io, control::http_server_settings{s.readiness.address, s.readiness.port},
+      runtime.io, port_for_reading(s.readiness, ports.readiness),
       [this](const control::http_request& request,
              const std::function<void(control::http_response)>& done) {
         if (request.path != hooks.readiness_path) {
@@ -265,9 +271,9 @@
 entry_node::~entry_node() = default;
 
 base::result<std::unique_ptr<entry_node>, std::string>
-entry_node::open(settings::role_settings settings, proxy::wire_names names,
+entry_node::open(const settings::role_settings& settings, proxy::wire_names names,
                  entry_node_hooks hooks) {
-  auto made = std::make_unique<impl>(std::move(settings), std::move(names), std::move(hooks));
+  auto made = std::make_unique<impl>(settings, std::move(names), std::move(hooks));
   if (auto opened = made->open(); !opened) {
     return opened.error();
   }
--- a/src/node/role_runtime.cpp
+++ b/src/node/role_runtime.cpp
@@ -1,8 +1,11 @@
 #include "role_runtime.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
+#include <sys/resource.h>
+
 #include <boost/asio/post.hpp>
 
 #include "kingcupshunt/base/hash.h"
@@ -17,12 +20,15 @@
 /// Share of the process's memory for incomplete frames of other instances.
 constexpr std::size_t frame_memory_divisor = 8;
 constexpr const char* status_path = "/status";
+/// Pages of one port that their callers have not read yet.
+constexpr std::size_t page_memory = std::size_t{4} << 20U;
 
 std::uint64_t random_number() {
   return base::hash64(base::random_bytes(sizeof(std::uint64_t))) | 1U;
 }
 
-peer::transport_settings transport_settings_of(const settings::role_settings& s) {
+peer::transport_settings transport_settings_of(const settings::role_settings& s,
+                                               const settings::port_limits& ports) {
   peer::transport_settings out;
   out.self_id = s.id;
   out.fleet = s.fleet;
@@ -34,21 +40,43 @@
   if (s.memory_bytes > 0) {
     out.limits.frame_memory = s.memory_bytes / frame_memory_divisor;
   }
+  out.limits.max_incoming = ports.peers;
+  out.limits.max_unauthenticated = ports.unauthenticated_peers;
   out.seed = random_number();
   return out;
 }
 
 } // namespace
 
+control::http_server_settings port_for_reading(const settings::listen_address& at,
+                                               std::size_t connections) {
+  control::http_server_settings out;
+  out.address = at.address;
+  out.port = at.port;
+  out.body_limit = 0;
+  out.body_memory = 0;
+  out.answer_memory = page_memory;
+  out.connections = connections;
+  return out;
+}
+
+std::size_t most_descriptors() {
+  rlimit limit{};
+  const bool is_limited =
+      ::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+  return is_limited ? limit.rlim_cur : 0;
+}
+
 nlohmann::json status_of(const fleet::evacuation_set& evacuations) {
   return {{"number", evacuations.number}, {"data_centres", evacuations.data_centres}};
 }
 
-role_runtime::role_runtime(settings::role_settings s, role_hooks hooks)
-    : settings(std::move(s)), seed(random_number()), hooks_(std::move(hooks)) {}
+role_runtime::role_runtime(settings::role_settings s, role_hooks hooks,
+                           const settings::port_limits& limits)
+    : settings(std::move(s)), ports(limits), seed(random_number()), hooks_(std::move(hooks)) {}
 
 base::result<void, std::string> role_runtime::start() {
-  transport = std::make_unique<peer::transport>(io, transport_settings_of(settings));
+  transport = std::make_unique<peer::transport>(io, transport_settings_of(settings, ports));
   transport->on_message([this](std::string_view from, peer::message_kind kind,
                                const std::string& body) { hooks_.on_message(from, kind, body); });
   if (auto started = transport->start(); !started) {
@@ -56,7 +84,7 @@
   }
   if (settings.metrics.port != 0) {
     metrics_server_ = std::make_unique<control::http_server>(
-        io, control::http_server_settings{settings.metrics.address, settings.metrics.port},
+        io, port_for_reading(settings.metrics, ports.metrics),
         [this](const control::http_request& request,
                const std::function<void(control::http_response)>& done) {
           done(operator_page(request));
--- a/src/node/role_runtime.h
+++ b/src/node/role_runtime.h
@@ -15,6 +15,7 @@
 #include "kingcupshunt/fleet/evacuation.h"
 #include "kingcupshunt/observe/metrics.h"
 #include "kingcupshunt/peer/transport.h"
+#include "kingcupshunt/settings/port_limits.h"
 #include "kingcupshunt/settings/role_settings.h"
 
 namespace kingcupshunt::node {
@@ -32,11 +33,19 @@
 /// The evacuations in force, for the status page.
 nlohmann::json status_of(const fleet::evacuation_set& evacuations);
 
+/// Settings of a port that answers requests without a body.
+control::http_server_settings port_for_reading(const settings::listen_address& at,
+                                               std::size_t connections);
+
+/// The system's limit of the descriptors of this process; 0: none.
+std::size_t most_descriptors();
+
 /// Event loop, connections to other instances, timer, signals and metrics page of a process with
 /// one role, control or entry.
 class role_runtime {
 public:
-  role_runtime(settings::role_settings s, role_hooks hooks);
+  role_runtime(settings::role_settings s, role_hooks hooks,
+               const settings::port_limits& limits = {});
 
   /// Opens the peer and metrics listeners. The error is a one-line message for operators.
   base::result<void, std::string> start();
@@ -51,6 +60,7 @@
 
   boost::asio::io_context io{1};
   settings::role_settings settings;
+  settings::port_limits ports;
   observe::metrics metrics;
   std::unique_ptr<peer::transport> transport;
   std::uint64_t seed = 0;
--- a/src/proxy/entry_server.cpp
+++ b/src/proxy/entry_server.cpp
@@ -29,8 +29,6 @@
 constexpr auto accept_retry_delay = base::milliseconds(100);
 /// How often a stopping server checks whether all connections have ended.
 constexpr auto stop_poll_interval = base::milliseconds(20);
-/// Least memory that a connection needs, with its smallest read buffer.
-constexpr std::size_t connection_bytes = std::size_t{8} * 1024;
 /// Idle connections closed for lack of memory in one pass over all, so that a pass is seldom
 /// needed.
 constexpr std::size_t idle_batch_bytes = 16 * connection_bytes;
@@ -50,6 +48,9 @@
   void accepted(tcp::socket socket);
   std::optional<caller_memory::lease> take_connection_memory(const std::string& address);
   bool reclaim(std::size_t bytes, const caller_memory::counter& lack);
+  bool is_full() const {
+    return sessions.size() - closing.size() >= context->settings.max_connections;
+  }
   void log_shortage(std::size_t idle, std::size_t stalled, base::time_point now);
   void observe_memory(base::time_point now);
   awaitable<void> serve(std::shared_ptr<session> s, std::string address);
@@ -63,6 +64,8 @@
   asio::steady_timer sweep_timer;
   asio::steady_timer stop_timer;
   std::unordered_set<std::shared_ptr<session>> sessions;
+  /// Of these, the ones closed for others, whose coroutines have yet to end.
+  std::unordered_set<const session*> closing;
   std::unordered_map<std::string, std::size_t> per_caller;
   /// When memory is searched again for a counter for which none was found; null: the budget.
   std::unordered_map<const std::size_t*, base::time_point> next_reclaims;
@@ -119,6 +122,7 @@
     freed += s->held_bytes();
     ++closed;
     s->abort();
+    closing.insert(s.get());
   }
   std::size_t dropped = 0;
   for (const auto& s : stalled) {
@@ -183,8 +187,9 @@
   auto address = remote.address().to_string();
   auto& count = per_caller[address];
   const bool is_caller_full = count >= settings.max_connections_per_caller;
-  const bool is_full = is_caller_full || sessions.size() >= settings.max_connections;
-  auto memory = is_full ? std::nullopt : take_connection_memory(address);
+  // Idle connections give way to new ones.
+  const bool has_room = !is_caller_full && (!is_full() || reclaim(connection_bytes, nullptr));
+  auto memory = has_room ? take_connection_memory(address) : std::nullopt;
   if (!memory) {
     refuse_connection(socket,
                       is_caller_full ? "too_many_caller_connections" : "too_many_connections");
@@ -224,6 +229,7 @@
     s->abort();
   }
   sessions.erase(s);
+  closing.erase(s.get());
   const auto it = per_caller.find(address);
   if (it != per_caller.end() && --it->second == 0) {
     per_caller.erase(it);
@@ -287,7 +293,8 @@
     return self && self->reclaim(bytes, lack);
   };
   const auto& bound = impl_->context->settings;
-  listen_on(impl_->acceptor, bound.address, bound.port);
+  listen_on(impl_->acceptor, bound.address, bound.port, bound.caller_receive_bytes,
+            std::min(bound.max_connections, most_connections_of(bound)));
   asio::co_spawn(
       io, [self = impl_] { return self->accept_loop(); }, asio::detached);
   asio::co_spawn(
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -92,6 +92,7 @@
   awaitable<void> run_once(connection_need need);
   void take_connection(connection_need need);
   awaitable<bool> connect();
+  std::shared_ptr<timed_socket> new_stream();
   awaitable<bool> connect_directly(base::time_point until);
   awaitable<bool> connect_through(const std::string& tunnel, base::time_point until);
   awaitable<bool> send();
--- a/src/proxy/exchange_connect.cpp
+++ b/src/proxy/exchange_connect.cpp
@@ -62,9 +62,14 @@
   co_return true;
 }
 
-awaitable<bool> exchange::connect_directly(base::time_point until) {
+std::shared_ptr<timed_socket> exchange::new_stream() {
   connection_->stream = std::make_shared<timed_socket>(tcp::socket(context_.executor));
-  const auto stream = connection_->stream;
+  connection_->stream->set_receive_bytes(context_.settings.upstream_receive_bytes);
+  return connection_->stream;
+}
+
+awaitable<bool> exchange::connect_directly(base::time_point until) {
+  const auto stream = new_stream();
   stream->expires_at(std::min(request_->deadline, until));
   error_code ec;
   const auto address = asio::ip::make_address(target_.address, ec);
@@ -78,8 +83,7 @@
 }
 
 awaitable<bool> exchange::connect_through(const std::string& tunnel, base::time_point until) {
-  connection_->stream = std::make_shared<timed_socket>(tcp::socket(context_.executor));
-  const auto stream = connection_->stream;
+  const auto stream = new_stream();
   stream->expires_at(std::min(request_->deadline, until));
   const bool is_open =
       co_await open_tunnel(*stream, context_.settings.tunnel_handshake, tunnel, target_.id);
--- a/src/proxy/timed_socket.cpp
+++ b/src/proxy/timed_socket.cpp
@@ -78,6 +78,13 @@
   if (is_timed_out_) {
     co_return timed_out_error();
   }
+  if (receive_bytes_ > 0 && !socket_.open(to.protocol(), ec)) {
+    // Set before the connection exists, it bounds the window.
+    socket_.set_option(asio::socket_base::receive_buffer_size(receive_bytes_), ec);
+  }
+  if (ec) {
+    co_return ec;
+  }
   co_await socket_.async_connect(to, asio::redirect_error(asio::use_awaitable, ec));
   if (!ec) {
     socket_.set_option(tcp::no_delay(true), ec);
--- a/src/proxy/timed_socket.h
+++ b/src/proxy/timed_socket.h
@@ -44,6 +44,8 @@
 
   /// Connects within the expiry.
   awaitable<error_code> connect(tcp::endpoint to);
+  /// Size of the receive buffer of a connection that is yet to be made; 0: the system's.
+  void set_receive_bytes(int n) noexcept { receive_bytes_ = n; }
 
   /// Appends at least one byte of received data to the buffer. Fails with eof only after an orderly
   /// end of the stream.
@@ -114,6 +116,7 @@
   std::function<bool(std::size_t)> growth_check_;
   std::size_t next_read_ = min_read_bytes;
   std::size_t read_limit_ = max_read_bytes;
+  int receive_bytes_ = 0;
   bool is_timed_out_ = false;
   bool is_reset_ = false; ///< a write has failed because the peer reset the connection
 };
--- a/src/proxy/tunnel_server.cpp
+++ b/src/proxy/tunnel_server.cpp
@@ -34,11 +34,12 @@
 
 /// One tunnel: the connection of the other instance and the one to the backend server.
 struct tunnel {
-  tunnel(tcp::socket accepted, const asio::any_io_executor& ex)
+  tunnel(tcp::socket accepted, const asio::any_io_executor& ex, int receive_bytes)
       : peer(std::make_shared<timed_socket>(std::move(accepted))),
         server(std::make_shared<timed_socket>(tcp::socket(ex))) {
     peer->limit_reads(max_tunnel_read_bytes);
     server->limit_reads(max_tunnel_read_bytes);
+    server->set_receive_bytes(receive_bytes);
   }
 
   void close() {
@@ -93,7 +94,8 @@
       socket.set_option(tcp::no_delay(true), ec);
       asio::co_spawn(
           executor,
-          [self, t = std::make_shared<tunnel>(std::move(socket), executor)] {
+          [self, t = std::make_shared<tunnel>(std::move(socket), executor,
+                                              self->settings.receive_bytes)] {
             return self->serve(t);
           },
           asio::detached);
@@ -217,7 +219,8 @@
                              std::function<std::string(const std::string& server)> resolve,
                              observe::metrics& metrics)
     : impl_(std::make_shared<impl>(io, std::move(settings), std::move(resolve), metrics)) {
-  listen_on(impl_->acceptor, impl_->settings.address, impl_->settings.port);
+  listen_on(impl_->acceptor, impl_->settings.address, impl_->settings.port,
+            impl_->settings.receive_bytes, impl_->settings.max_tunnels);
   asio::co_spawn(
       io, [self = impl_] { return self->accept_loop(); }, asio::detached);
 }
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -31,10 +31,11 @@
     e.idle.erase(e.idle.begin());
     close(e, oldest);
   }
-  if (e.open >= settings_.connections_per_upstream) {
+  if (e.open >= settings_.connections_per_upstream || !has_room()) {
     return nullptr;
   }
   ++e.open;
+  ++open_;
   metrics_.count("upstream_connections_opened_total");
   return std::make_shared<upstream_connection>(tcp::socket(executor_), upstream_id);
 }
@@ -60,9 +61,34 @@
   connection->stream->close();
   if (e.open > 0) {
     --e.open;
+    --open_;
   }
 }
 
+/// Whether another connection may be opened. Closes the one that has been idle the longest for it
+/// when all upstreams together have as many as they may.
+bool upstream_pool::has_room() {
+  const auto limit = settings_.max_upstream_connections;
+  if (limit == 0 || open_ < limit) {
+    return true;
+  }
+  entry* oldest = nullptr;
+  for (auto& [id, e] : entries_) {
+    const bool is_older =
+        !e.idle.empty() &&
+        (oldest == nullptr || e.idle.front()->last_answer < oldest->idle.front()->last_answer);
+    oldest = is_older ? &e : oldest;
+  }
+  if (oldest == nullptr) {
+    metrics_.count("upstream_connections_exhausted_total");
+    return false;
+  }
+  const auto connection = oldest->idle.front();
+  oldest->idle.erase(oldest->idle.begin());
+  close(*oldest, connection);
+  return true;
+}
+
 void upstream_pool::discard_idle(const std::string& upstream_id) {
   auto& e = entries_[upstream_id];
   for (const auto& connection : e.idle) {
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -43,8 +43,8 @@
                 observe::metrics& metrics);
 
   /// Returns an idle connection that is still open, or an unconnected one that the caller connects.
-  /// Null when the limit for this upstream is reached. Every connection must be returned with `put`
-  /// or `drop`.
+  /// Null when the limit for this upstream, or for all, is reached. Every connection must be
+  /// returned with `put` or `drop`.
   connection_ptr take(const std::string& upstream_id, connection_need need, base::time_point now);
 
   /// Returns a connection on which a whole answer was read. Closes it when unread bytes remain.
@@ -70,11 +70,13 @@
   };
 
   void close(entry& e, const connection_ptr& connection);
+  bool has_room();
 
   boost::asio::any_io_executor executor_;
   const entry_settings& settings_;
   observe::metrics& metrics_;
   std::unordered_map<std::string, entry> entries_;
+  std::size_t open_ = 0; ///< to all upstreams
 };
 
 } // namespace kingcupshunt::proxy
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -170,7 +170,7 @@
               {"bootstrap", true},
               {"data_dir", nullptr},
               {"listen", {{"front", "10.1.0.5:8405"}, {"ready", "10.1.0.5:8406"}}},
-              {"limits", {{"memory_mb", 400}}},
+              {"limits", {{"memory_mb", 400}, {"max_fds", 9840}}},
               {"bounds", {{"revoke_s", 4}, {"budget_window_s", 8}, {"budget_slack", 58}}}};
   const auto s = parse_settings(all.dump());
   REQUIRE(s);
@@ -181,6 +181,7 @@
   CHECK(base::to_ms(s.value().bounds.retry_window) == 8000);
   CHECK(s.value().bounds.retry_slack == 58);
   CHECK(s.value().memory_bytes == std::size_t{400} << 20U);
+  CHECK(s.value().descriptors == 9840);
   CHECK(s.value().caller_memory.share == 0.25);
   auto divided = all;
   divided["limits"]["caller_memory_share"] = 0.5;
--- a/tests/process/uncontrolled_calls_test.cpp
+++ b/tests/process/uncontrolled_calls_test.cpp
@@ -138,3 +138,123 @@
   }
   check_processes(e);
 }
+
+TEST_CASE("calls that stop short stay within the memory of a control instance, unread bytes too") {
+  entry_process e;
+  const auto limit_kb = std::size_t{entry_process::memory_mb} * 1024;
+  SUBCASE("directory, bodies in chunks") {
+    const port_crowd c(e, e.control(), entry_process::directory_port, many,
+                       unfinished_call("/", 0x40000));
+    CHECK(c.peak.held_kb <= limit_kb);
+    check_directory(e);
+  }
+  SUBCASE("directory, heads") {
+    const port_crowd c(e, e.control(), entry_process::directory_port, many,
+                       unfinished_head(16'000));
+    CHECK(c.peak.held_kb <= limit_kb);
+    check_directory(e);
+  }
+  SUBCASE("control, bodies in chunks") {
+    const port_crowd c(e, e.control(), entry_process::control_port, many,
+                       unfinished_call(soak::wire::replace_target(), 0x40000));
+    CHECK(c.peak.held_kb <= limit_kb);
+    check_control(e);
+  }
+  SUBCASE("control, bodies with a length") {
+    const port_crowd c(e, e.control(), entry_process::control_port, many,
+                       "POST " + soak::wire::replace_target() +
+                           " HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n" +
+                           std::string(0x40000, 'b'));
+    CHECK(c.peak.held_kb <= limit_kb);
+    check_control(e);
+  }
+  SUBCASE("control, bodies of a few KiB") {
+    const port_crowd c(e, e.control(), entry_process::control_port, many,
+                       "POST " + soak::wire::replace_target() +
+                           " HTTP/1.1\r\nHost: a\r\nContent-Length: 16000\r\n\r\n" +
+                           std::string(15'000, 'b'));
+    CHECK(c.peak.held_kb <= limit_kb);
+    check_control(e);
+  }
+  SUBCASE("metrics, bodies in chunks") {
+    const port_crowd c(e, e.control(), entry_process::metrics_port, many,
+                       unfinished_call("/", 0x40000));
+    CHECK(c.peak.held_kb <= limit_kb);
+    check_metrics(e.control_address());
+  }
+  check_processes(e);
+}
+
+TEST_CASE("calls that stop short stay within the memory of an entry, unread bytes too") {
+  entry_process e;
+  const auto limit_kb = std::size_t{entry_process::memory_mb} * 1024;
+  SUBCASE("readiness, bodies in chunks") {
+    const port_crowd c(e, e.entry(), entry_process::readiness_port, many,
+                       unfinished_call("/", 0x40000));
+    CHECK(c.peak.held_kb <= limit_kb);
+    check_readiness(e);
+  }
+  SUBCASE("metrics, bodies in chunks") {
+    const port_crowd c(e, e.entry(), entry_process::metrics_port, many,
+                       unfinished_call("/", 0x40000));
+    CHECK(c.peak.held_kb <= limit_kb);
+    check_metrics(e.entry_address());
+  }
+  check_processes(e);
+}
+
+TEST_CASE("answers of control instances that are not read stay within their memory") {
+  process_limits limits;
+  limits.memory_mb = 128;
+  limits.routes = 1500;
+  entry_process e(limits);
+  std::string calls;
+  for (int i = 0; i < 8; ++i) {
+    calls +=
+        "POST " + soak::wire::read_target() + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+  }
+  const port_crowd c(e, e.control(), entry_process::control_port, 600, calls);
+  CHECK(c.peak.held_kb <= std::size_t{128} * 1024);
+  check_control(e);
+  check_processes(e);
+}
+
+TEST_CASE("the ports of a process share its descriptors") {
+  process_limits limits;
+  limits.max_fds = 600;
+  entry_process e(limits);
+  SUBCASE("control instance") {
+    const port_crowd directory(e, e.control(), entry_process::directory_port, 1000, "");
+    const port_crowd control(e, e.control(), entry_process::control_port, 1000, "");
+    const port_crowd metrics(e, e.control(), entry_process::metrics_port, 1000, "");
+    const port_crowd peers(e, e.control(), entry_process::peer_port, 1000, "");
+    CHECK(std::max({directory.peak.descriptors, control.peak.descriptors, metrics.peak.descriptors,
+                    peers.peak.descriptors}) <= 600);
+    check_directory(e);
+    check_control(e);
+    check_metrics(e.control_address());
+  }
+  SUBCASE("entry") {
+    const port_crowd callers(e, e.entry(), entry_process::entry_port, 1000, "");
+    const port_crowd readiness(e, e.entry(), entry_process::readiness_port, 1000, "");
+    const port_crowd metrics(e, e.entry(), entry_process::metrics_port, 1000, "");
+    const port_crowd tunnels(e, e.entry(), entry_process::tunnel_port, 1000, "");
+    const port_crowd peers(e, e.entry(), entry_process::peer_port, 1000, "");
+    CHECK(std::max({callers.peak.descriptors, readiness.peak.descriptors, metrics.peak.descriptors,
+                    tunnels.peak.descriptors, peers.peak.descriptors}) <= 600);
+    check_readiness(e);
+    check_metrics(e.entry_address());
+  }
+  check_processes(e);
+}
+
+TEST_CASE("processes end when told to while their ports are full") {
+  entry_process e;
+  const port_crowd callers(e, e.entry(), entry_process::entry_port, many, unfinished_head(10));
+  const port_crowd readiness(e, e.entry(), entry_process::readiness_port, many, "");
+  const port_crowd directory(e, e.control(), entry_process::directory_port, many, "");
+  e.entry().send(SIGTERM);
+  CHECK(wait_until([&] { return !e.entry().is_alive(); }));
+  e.control().send(SIGTERM);
+  CHECK(wait_until([&] { return !e.control().is_alive(); }));
+}
--- a/tests/proxy/bounds_test.cpp
+++ b/tests/proxy/bounds_test.cpp
@@ -49,7 +49,31 @@
 }
 
 TEST_CASE("the number of connections of all callers is limited") {
-  fixture f({}, [](entry_settings& s) { s.max_connections = 1; });
+  std::atomic<bool> may_answer{false};
+  backend b([&](backend& self, test_connection& c, int) {
+    self.read_request(c);
+    may_answer.wait(false);
+    c.send(ok_answer("late"));
+  });
+  fixture f({b.id()}, [](entry_settings& s) { s.max_connections = 1; });
+  f.start();
+  test_connection first(f.port());
+  first.send(get_a);
+  REQUIRE(eventually([&] { return b.requests() == 1; }));
+  test_connection second(f.port());
+  const auto a = second.read_answer();
+  CHECK(a.status == 503);
+  CHECK(a.field("x-kingcupshunt-reason") == "too_many_connections");
+  CHECK(second.is_closed_by_peer());
+  may_answer = true;
+  may_answer.notify_all();
+  CHECK(first.read_answer().body == "late");
+}
+
+// Guards against callers that keep others out with connections on which they send nothing.
+TEST_CASE("an idle connection gives way to a new one when all are taken") {
+  backend b(always(ok_answer("fine")));
+  fixture f({b.id()}, [](entry_settings& s) { s.max_connections = 1; });
   f.start();
   test_connection first(f.port());
   REQUIRE(eventually([&] {
@@ -58,10 +82,14 @@
     return n == 1;
   }));
   test_connection second(f.port());
-  const auto a = second.read_answer();
-  CHECK(a.status == 503);
-  CHECK(a.field("x-kingcupshunt-reason") == "too_many_connections");
-  CHECK(second.is_closed_by_peer());
+  CHECK(first.is_closed_by_peer());
+  second.send(get_a);
+  CHECK(second.read_answer().body == "fine");
+  CHECK(eventually([&] {
+    std::size_t n = 0;
+    f.on_loop([&] { n = f.server->connection_count(); });
+    return n == 1;
+  }));
 }
 
 TEST_CASE("connections to one upstream are limited and a request over the limit goes to another "
--- a/tests/proxy/upstream_pool_test.cpp
+++ b/tests/proxy/upstream_pool_test.cpp
@@ -101,3 +101,18 @@
   f.pool.sweep(f.now);
   CHECK(f.pool.open_count("a") == 0);
 }
+
+// Guards against a process that runs out of descriptors by its connections to many upstreams.
+TEST_CASE("the connections to all upstreams are limited, and the longest idle one gives way") {
+  pool_fixture f;
+  f.settings.max_upstream_connections = 2;
+  const auto one = f.connected();
+  const auto two = f.connected();
+  CHECK(f.pool.take("b", connection_need::any, f.now) == nullptr);
+  f.pool.put(two, f.now);
+  f.pool.put(one, f.now + base::seconds(1));
+  CHECK(f.pool.take("b", connection_need::any, f.now) != nullptr);
+  CHECK(!two->stream->is_open());
+  CHECK(one->stream->is_open());
+  CHECK(f.pool.open_count("a") == 1);
+}
