Connections that do not authenticate give way to new ones

Change: at the limit the oldest connection that has not authenticated itself is closed for a new one; at the peer port not within its first 100 ms, since an instance needs a few.

No fault was shown at these ports.

--- a/include/kingcupshunt/peer/transport.h
+++ b/include/kingcupshunt/peer/transport.h
@@ -75,8 +75,9 @@
   std::uint64_t silent_connections = 0;
   std::uint64_t frame_errors = 0;
   std::uint64_t handshake_errors = 0;
-  std::uint64_t refused_connections = 0; ///< beyond max_incoming or max_unauthenticated
-  std::uint64_t closed_for_memory = 0;   ///< connections whose frame found no memory
+  std::uint64_t refused_connections = 0;  ///< beyond max_incoming or max_unauthenticated
+  std::uint64_t replaced_connections = 0; ///< closed for new ones before their authentication
+  std::uint64_t closed_for_memory = 0;    ///< connections whose frame found no memory
 };
 
 /// Carries messages between instances over authenticated TCP connections. All calls and handlers
--- a/src/peer/connection.h
+++ b/src/peer/connection.h
@@ -58,6 +58,7 @@
 
   /// Id of the authenticated peer, or of the expected one.
   const std::string& peer_id() const noexcept { return peer_id_; }
+  base::time_point started_at() const noexcept { return started_at_; }
 
 private:
   void read();
--- a/src/peer/transport_impl.cpp
+++ b/src/peer/transport_impl.cpp
@@ -14,6 +14,8 @@
 using boost::asio::ip::tcp;
 
 constexpr base::duration tick_interval = base::milliseconds(50);
+/// Of a connection that stays when there is no room for new ones.
+constexpr base::duration handshake_time = base::milliseconds(100);
 
 std::optional<tcp::endpoint> parse_address(std::string_view text) {
   const auto colon = text.rfind(':');
@@ -82,7 +84,23 @@
   is_accepting = true;
 }
 
+/// Closes the oldest connection before its authentication, so that clients that are not of the
+/// fleet can't take the place of instances. One of an instance is done within a few milliseconds.
+void transport::impl::close_oldest_unnamed() {
+  const auto oldest =
+      std::ranges::min_element(unnamed, {}, [](const auto& c) { return c->started_at(); });
+  if (oldest != unnamed.end() && base::clock::now() - (*oldest)->started_at() >= handshake_time) {
+    ++counters.replaced_connections;
+    const auto c = *oldest; // closing removes it
+    c->close();
+  }
+}
+
 void transport::impl::accepted(tcp::socket s) {
+  if (incoming_count >= settings.limits.max_incoming ||
+      unnamed.size() >= settings.limits.max_unauthenticated) {
+    close_oldest_unnamed();
+  }
   if (incoming_count >= settings.limits.max_incoming ||
       unnamed.size() >= settings.limits.max_unauthenticated) {
     ++counters.refused_connections;
--- a/src/peer/transport_impl.h
+++ b/src/peer/transport_impl.h
@@ -64,6 +64,8 @@
 
   void accept_next();
 
+  void close_oldest_unnamed();
+
   void accepted(boost::asio::ip::tcp::socket s);
 
   void connect(const std::string& id, peer_entry& entry, base::time_point now);
--- a/src/proxy/tunnel_server.cpp
+++ b/src/proxy/tunnel_server.cpp
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include <algorithm>
+#include <iterator>
 #include <unordered_set>
 #include <vector>
 
@@ -29,6 +30,9 @@
 /// A tunnel whose last bytes came from the server this long ago waits for a request.
 constexpr base::milliseconds quiet_after_answer{100};
 
+/// Part of the tunnels that is closed at once when there is room for no other.
+constexpr std::size_t closed_divisor = 64;
+
 /// Greatest read of each direction: with it, the buffers of all tunnels together stay in bounds.
 constexpr std::size_t max_tunnel_read_bytes = std::size_t{16} * 1024;
 
@@ -56,6 +60,8 @@
 
   std::shared_ptr<timed_socket> peer;
   std::shared_ptr<timed_socket> server;
+  base::time_point accepted_at = base::clock::now();
+  bool is_authenticated = false;
   bool is_open = false;       ///< connected to the server
   bool is_answer_last = true; ///< the last bytes came from the server
   base::time_point used_at{};
@@ -70,6 +76,7 @@
         metrics(m), acceptor(io), timer(io) {}
 
   awaitable<void> accept_loop();
+  void close_unopened();
   awaitable<void> serve(std::shared_ptr<tunnel> t);
   awaitable<bool> open(tunnel& t);
   awaitable<bool> connect(tunnel& t, const std::string& server);
@@ -90,6 +97,9 @@
   while (acceptor.is_open()) {
     error_code ec;
     auto socket = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec && tunnels.size() >= settings.max_tunnels) {
+      close_unopened();
+    }
     if (!ec && tunnels.size() < settings.max_tunnels) {
       socket.set_option(tcp::no_delay(true), ec);
       asio::co_spawn(
@@ -109,6 +119,21 @@
   }
 }
 
+/// Closes the tunnels that have waited the longest for the other instance's request, so that
+/// clients that are not of the fleet can't take all.
+void tunnel_server::impl::close_unopened() {
+  std::vector<std::shared_ptr<tunnel>> waiting;
+  std::ranges::copy_if(tunnels, std::back_inserter(waiting),
+                       [](const auto& t) { return !t->is_authenticated; });
+  std::ranges::sort(waiting, {}, &tunnel::accepted_at);
+  waiting.resize(std::min(waiting.size(), settings.max_tunnels / closed_divisor + 1));
+  for (const auto& t : waiting) {
+    metrics.count("tunnels_total", "replaced");
+    t->close();
+    tunnels.erase(t);
+  }
+}
+
 awaitable<void> tunnel_server::impl::serve(std::shared_ptr<tunnel> t) {
   tunnels.insert(t);
   t->peer->expires_at(base::clock::now() + settings.open_timeout);
@@ -145,6 +170,7 @@
       co_return false;
     }
   }
+  t.is_authenticated = true;
   const auto content = co_await channel.read();
   const auto request = content ? peer::unpack<tunnel_request>(*content) : std::nullopt;
   if (!request || !channel.is_drained()) {
--- a/tests/process/uncontrolled_calls_test.cpp
+++ b/tests/process/uncontrolled_calls_test.cpp
@@ -248,6 +248,23 @@
   check_processes(e);
 }
 
+TEST_CASE("instances reach each other while a client fills the ports between them") {
+  entry_process e;
+  const auto from = e.caller_addresses();
+  SUBCASE("peer port of a control instance") {
+    const testing::tireless_crowd c({from, e.control_address(), entry_process::peer_port}, 1100);
+    e.restart_entry();
+    check_processes(e);
+  }
+  SUBCASE("peer and tunnel ports of an entry") {
+    const testing::tireless_crowd peers({from, e.entry_address(), entry_process::peer_port}, 1100);
+    const testing::tireless_crowd tunnels({from, e.entry_address(), entry_process::tunnel_port},
+                                          2100);
+    e.restart_entry();
+    check_processes(e);
+  }
+}
+
 TEST_CASE("processes end when told to while their ports are full") {
   entry_process e;
   const port_crowd callers(e, e.entry(), entry_process::entry_port, many, unfinished_head(10));
