Callers that stall no longer hold the backend servers

What callers saw: beside 100 POSTs of 2 MB that stop short of their end, or 100 callers that don't read an answer of 5 MB, ordinary requests were refused with 503 although the servers did nothing, until the deadlines of the crowd's requests.

Cause: a request whose body is passed on as it arrives, or whose answer is passed on as its caller reads it, occupies a slot and a connection for as long as its caller likes, and nothing bounded that. Besides, such a request became late after four times the usual response time, which counted as a failure of its server and was reported to all instances, and its time went into the mean response time: callers could make servers look faulty and slow.

Change: bodies that are still arriving take half of the slots of a service, and of each server, at most; others are refused at once with 503 streams_full, not run. The response time is measured from the end of the body, and to the first byte of an answer that is passed on; neither can be late meanwhile. A write to a caller shows its progress.

Callers are left alone as long as servers are free, so that slow ones inside the limits are served in calm.

--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -92,6 +92,11 @@
   /// Time after a successful trial request at a suspected faulty server until the next one.
   base::duration confirm_idle = base::milliseconds(60);
 
+  /// Part of the slots of a service, and of each server, for requests of this instance whose bodies
+  /// are still arriving; at least one.
+  double streamed_share = 0.5;
+  /// Such requests at one server, whose connections they take too.
+  std::uint32_t max_streamed_per_server = 9;
   std::uint32_t queued_per_server = 1; ///< requests sent to a server beyond its slots
   double late_factor = 4.0; ///< a request is late after this multiple of the usual response time
   base::duration min_late_threshold = base::milliseconds(500);
@@ -116,7 +121,8 @@
   all_tried,       ///< the request has tried every server that may be used
   all_busy,        ///< every server is full as far as known
   all_paused,      ///< every server has asked for a pause
-  all_evacuated    ///< every server that could be used is in an evacuated data centre
+  all_evacuated,   ///< every server that could be used is in an evacuated data centre
+  all_streaming    ///< bodies that arrive slowly take all slots that they may
 };
 
 /// A request that needs a server.
@@ -126,6 +132,9 @@
   bool is_repeatable = false;
   bool is_urgent = false;      ///< highest rank: other requests try suspected faulty servers first
   bool has_large_body = false; ///< not queued at a server, whose memory its queue would fill
+  /// Its body is sent as it arrives from the caller. Up to `note_body_sent` such requests take a
+  /// part of the slots only, since a caller may stop.
+  bool is_streamed = false;
 };
 
 /// The limit of a server began, changed or ended.
@@ -197,6 +206,11 @@
   void end(std::string_view server, std::uint64_t request, const health::attempt& a,
            base::time_point now);
 
+  /// The streamed body of this running request has been sent.
+  void note_body_sent(std::string_view server, std::uint64_t request, base::time_point now);
+  /// The answer to this running request is passed on as its caller reads it: it can't be late.
+  void note_answer_relayed(std::string_view server, std::uint64_t request);
+
   /// An answer to this running request said that its server leaves. That incarnation of the server
   /// gets no further request; what runs there ends undisturbed.
   void note_leaving(std::string_view server, std::uint64_t request);
@@ -297,6 +311,9 @@
     bool is_repeatable = false;
     bool is_late = false;
     bool is_excused = false;      ///< its failure is not the server's
+    bool is_arriving = false;     ///< its body is
+    bool was_streamed = false;    ///< its body was; `since` is the end of the body
+    bool is_relayed = false;      ///< its answer is
     std::uint64_t started_ms = 0; ///< incarnation of the server that it was sent to
   };
   struct server {
@@ -371,6 +388,9 @@
     double starts_per_second = 0;
   };
   slot_counts count_slots(std::string_view service, base::time_point now) const;
+  static std::uint32_t arriving_at(const server& s) noexcept;
+  bool may_stream_to(const server& s) const noexcept;
+  bool may_stream(const service_state& of, base::time_point now) const noexcept;
   void note_use(server& s, base::time_point now);
   void delay_due(server& s, base::time_point now);
   void decay_counts(request_count& c, base::time_point now) const;
--- a/include/kingcupshunt/proxy/hooks.h
+++ b/include/kingcupshunt/proxy/hooks.h
@@ -109,6 +109,14 @@
   /// Called after each attempt to establish a connection that was planned. May be empty.
   std::function<void(const connection_outcome&)> note_connection;
 
+  /// Called when the whole streamed body was sent to the upstream: from now on the upstream does
+  /// not wait for the caller any more. May be empty.
+  std::function<void(const authorized_request&, const std::string& upstream)> note_body_sent;
+
+  /// Called before an answer is passed on as it arrives: from now on its time is the caller's as
+  /// well. May be empty.
+  std::function<void(const authorized_request&, const std::string& upstream)> note_answer_relayed;
+
   /// Reports the result of a try and releases its slot.
   std::function<void(const authorized_request&, const health::attempt&)> report;
 
--- a/include/kingcupshunt/proxy/request_head.h
+++ b/include/kingcupshunt/proxy/request_head.h
@@ -34,6 +34,8 @@
   /// Time at which `hooks::admit` granted the turn; shared by the copies of one request.
   std::shared_ptr<base::time_point> turn_started{};
   std::uint64_t serial = 0; ///< number of the request on this instance
+  /// The body is passed on as it arrives, so the server waits for the caller.
+  bool has_streamed_body = false;
 };
 
 } // namespace kingcupshunt::proxy
--- a/src/balance/server_board.cpp
+++ b/src/balance/server_board.cpp
@@ -204,6 +204,9 @@
   if (of == services_.end() || of->second.servers.empty()) {
     return board_error::unknown_service;
   }
+  if (request.is_streamed && !may_stream(of->second, now)) {
+    return board_error::all_streaming;
+  }
   bool is_busy = false;
   auto* chosen = tried.empty() ? find_permitted_cold(of->second, request, now) : nullptr;
   if (chosen == nullptr && tried.empty()) {
@@ -224,8 +227,13 @@
   if (chosen == nullptr) {
     return is_busy ? board_error::all_busy : board_error::all_tried;
   }
-  chosen->own_requests[request.serial] = {now, request.is_repeatable, false, false,
-                                          chosen->record.started_ms};
+  running run;
+  run.since = now;
+  run.is_repeatable = request.is_repeatable;
+  run.is_arriving = request.is_streamed;
+  run.was_streamed = request.is_streamed;
+  run.started_ms = chosen->record.started_ms;
+  chosen->own_requests[request.serial] = run;
   chosen->permits.take(now);
   take_cold(*chosen, now);
   note_use(*chosen, now);
@@ -266,6 +274,12 @@
   const bool is_excused = run != s.own_requests.end() && run->second.is_excused;
   const bool is_former =
       run != s.own_requests.end() && run->second.started_ms != s.record.started_ms;
+  auto response_time = a.total;
+  if (run != s.own_requests.end() && run->second.was_streamed) {
+    response_time = now - run->second.since;
+  } else if (run != s.own_requests.end() && run->second.is_relayed) {
+    response_time = a.first_byte;
+  }
   if (run != s.own_requests.end()) {
     note_pause(s, run->second, a, now);
     note_cold_answer(s, run->second, a, now);
@@ -316,7 +330,7 @@
   if (was_likely_faulty) {
     s.due_at = now + settings_.confirm_idle;
   }
-  const double seconds = base::to_seconds(a.total);
+  const double seconds = base::to_seconds(response_time);
   auto& of = services_[s.record.service];
   decay_counts(of.count, now);
   of.count.served += 1;
@@ -393,6 +407,50 @@
   return is_known ? it->second.record.address : std::string();
 }
 
+std::uint32_t server_board::arriving_at(const server& s) noexcept {
+  return static_cast<std::uint32_t>(std::ranges::count_if(
+      s.own_requests, [](const auto& item) { return item.second.is_arriving; }));
+}
+
+bool server_board::may_stream_to(const server& s) const noexcept {
+  const auto share = static_cast<std::uint32_t>(s.record.slots * settings_.streamed_share);
+  return arriving_at(s) < std::clamp(share, 1U, settings_.max_streamed_per_server);
+}
+
+bool server_board::may_stream(const service_state& of, base::time_point now) const noexcept {
+  std::uint32_t slots = 0;
+  std::uint32_t arriving = 0;
+  for (const auto* s : of.servers) {
+    slots += is_usable(*s, now) ? s->record.slots : 0;
+    arriving += arriving_at(*s);
+  }
+  return arriving < std::max(1.0, slots * settings_.streamed_share);
+}
+
+void server_board::note_body_sent(std::string_view id, std::uint64_t request,
+                                  base::time_point now) {
+  const auto it = servers_.find(id);
+  if (it == servers_.end()) {
+    return;
+  }
+  if (const auto run = it->second.own_requests.find(request);
+      run != it->second.own_requests.end()) {
+    run->second.is_arriving = false;
+    run->second.since = now;
+  }
+}
+
+void server_board::note_answer_relayed(std::string_view id, std::uint64_t request) {
+  const auto it = servers_.find(id);
+  if (it == servers_.end()) {
+    return;
+  }
+  if (const auto run = it->second.own_requests.find(request);
+      run != it->second.own_requests.end()) {
+    run->second.is_relayed = true;
+  }
+}
+
 void server_board::excuse_running() {
   for (auto& [id, s] : servers_) {
     for (auto& [request, run] : s.own_requests) {
@@ -411,7 +469,8 @@
     const auto usual = base::from_seconds(of->second.mean_seconds * settings_.late_factor);
     const auto limit = std::max(usual, settings_.min_late_threshold);
     for (auto& [request, run] : s.own_requests) {
-      if (!run.is_late && !run.is_excused && now - run.since > limit) {
+      const bool is_callers_time = run.is_arriving || run.is_relayed;
+      if (!run.is_late && !run.is_excused && !is_callers_time && now - run.since > limit) {
         run.is_late = true;
         // The request may still be answered, so it does not count as lost.
         note_failure(s, {"", fleet::failure_kind::late, 0, "", false}, now);
--- a/src/balance/server_board_choice.cpp
+++ b/src/balance/server_board_choice.cpp
@@ -95,7 +95,8 @@
       continue;
     }
     const auto queued = request.has_large_body ? 0 : settings_.queued_per_server;
-    if (in_flight(*s, now) >= s->record.slots + queued || !s->permits.may_send(now) ||
+    if ((request.is_streamed && !may_stream_to(*s)) ||
+        in_flight(*s, now) >= s->record.slots + queued || !s->permits.may_send(now) ||
         unpaused_starts(*s, now) == 0 || cold_starts(*s, now) == 0) {
       is_busy = true;
       continue;
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -101,6 +101,13 @@
     return note_direct_failure(server);
   };
   out.note_connection = [this](const proxy::connection_outcome& o) { note_connection(o); };
+  out.note_body_sent = [this](const proxy::authorized_request& request, const std::string& server) {
+    board_.note_body_sent(server, request.serial, base::clock::now());
+  };
+  out.note_answer_relayed = [this](const proxy::authorized_request& request,
+                                   const std::string& server) {
+    board_.note_answer_relayed(server, request.serial);
+  };
   out.report = [this](const proxy::authorized_request& request, const health::attempt& a) {
     report(request, a);
   };
@@ -261,9 +268,12 @@
                    "this request is suspected of crashing the servers that ran it",
                    suspect_retry_after);
   }
-  const balance::board_request selection{request.service->name, request.serial,
-                                         request.route->is_repeatable(), rank_of(request) == 0,
-                                         request.route->kind == config::request_kind::upload};
+  const balance::board_request selection{request.service->name,
+                                         request.serial,
+                                         request.route->is_repeatable(),
+                                         rank_of(request) == 0,
+                                         request.route->kind == config::request_kind::upload,
+                                         request.has_streamed_body};
   auto chosen = board_.begin(selection, tried, now);
   if (!chosen) {
     if (auto paused = refusal_of_pause(request.service->name, now)) {
@@ -274,6 +284,9 @@
       return not_run(503, "no_server", "no server of the service is known", lease_retry_after);
     case balance::board_error::all_evacuated:
       return refusal_of_evacuation();
+    case balance::board_error::all_streaming:
+      return not_run(503, "streams_full", "other bodies that are arriving take all places",
+                     overload_retry_after);
     case balance::board_error::all_tried:
       return not_run(503, "no_other_server", "the request has been tried on every server");
     case balance::board_error::all_busy:
--- a/src/proxy/entry_context.h
+++ b/src/proxy/entry_context.h
@@ -11,6 +11,7 @@
 #include "kingcupshunt/base/memory_budget.h"
 #include "kingcupshunt/proxy/entry_server.h"
 #include "kingcupshunt/proxy/hooks.h"
+#include "server_holds.h"
 #include "upstream_pool.h"
 
 namespace kingcupshunt::proxy {
@@ -21,7 +22,8 @@
                 observe::metrics& m)
       : executor(ex), settings(std::move(s)), hook(std::move(h)), metrics(m), pool(ex, settings, m),
         answer_memory(settings.max_answer_memory_bytes),
-        memory(settings.max_caller_memory_bytes, settings.single_caller_share) {}
+        memory(settings.max_caller_memory_bytes, settings.single_caller_share),
+        holds(settings.least_body_rate) {}
 
   /// Raises a lease of `memory`. When there is not enough, idle and stalled connections are closed,
   /// which gives back memory later; `is_freeing` says whether there were any.
@@ -37,6 +39,7 @@
   upstream_pool pool;
   base::memory_budget answer_memory;
   caller_memory memory;
+  server_holds holds;
   /// Closes idle connections, then drops stalled heads and bodies, until at least `bytes` of
   /// `lack` (null: of anyone) will be given back. Returns false when none was found.
   std::function<bool(std::size_t bytes, const caller_memory::counter& lack)> reclaim;
--- a/src/proxy/entry_server.cpp
+++ b/src/proxy/entry_server.cpp
@@ -42,7 +42,7 @@
   impl(asio::io_context& io, entry_settings settings, hooks decisions, observe::metrics& metrics)
       : context(std::make_shared<entry_context>(io.get_executor(), std::move(settings),
                                                 std::move(decisions), metrics)),
-        acceptor(io), sweep_timer(io), stop_timer(io) {}
+        acceptor(io), sweep_timer(io), stop_timer(io), holds_timer(io) {}
 
   awaitable<void> accept_loop();
   void accepted(tcp::socket socket);
@@ -55,6 +55,7 @@
   void observe_memory(base::time_point now);
   awaitable<void> serve(std::shared_ptr<session> s, std::string address);
   awaitable<void> sweep_loop();
+  void schedule_holds();
   awaitable<void> finish_stop(base::time_point deadline, std::function<void(std::size_t)> done);
   void refuse_connection(tcp::socket& socket, const char* reason);
   void close();
@@ -63,6 +64,7 @@
   tcp::acceptor acceptor;
   asio::steady_timer sweep_timer;
   asio::steady_timer stop_timer;
+  asio::steady_timer holds_timer;
   std::unordered_set<std::shared_ptr<session>> sessions;
   /// Of these, the ones closed for others, whose coroutines have yet to end.
   std::unordered_set<const session*> closing;
@@ -249,6 +251,25 @@
   }
 }
 
+/// Observes requests that hold a server while they wait for their callers, as long as there are
+/// any.
+void entry_server::impl::schedule_holds() {
+  holds_timer.expires_after(server_holds::tick_interval);
+  holds_timer.async_wait([weak = weak_from_this()](error_code ec) {
+    const auto self = weak.lock();
+    if (!self || ec) {
+      return;
+    }
+    auto& holds = self->context->holds;
+    if (const auto n = holds.tick(base::clock::now()); n > 0) {
+      self->context->metrics.count("stalled_callers_ended_total", {}, static_cast<double>(n));
+    }
+    if (!holds.is_empty()) {
+      self->schedule_holds();
+    }
+  });
+}
+
 awaitable<void> entry_server::impl::finish_stop(base::time_point deadline,
                                                 std::function<void(std::size_t)> done) {
   const auto self = shared_from_this();
@@ -281,6 +302,7 @@
   acceptor.close(ignored);
   sweep_timer.cancel(ignored);
   stop_timer.cancel(ignored);
+  holds_timer.cancel(ignored);
   context->pool.close_idle();
 }
 
@@ -292,6 +314,11 @@
     const auto self = weak.lock();
     return self && self->reclaim(bytes, lack);
   };
+  impl_->context->holds.on_first = [weak = std::weak_ptr(impl_)] {
+    if (const auto self = weak.lock()) {
+      self->schedule_holds();
+    }
+  };
   const auto& bound = impl_->context->settings;
   listen_on(impl_->acceptor, bound.address, bound.port, bound.caller_receive_bytes,
             std::min(bound.max_connections, most_connections_of(bound)));
--- a/src/proxy/request_answer.cpp
+++ b/src/proxy/request_answer.cpp
@@ -159,6 +159,14 @@
       ex->cancel();
     }
   };
+  if (context_.hook.note_answer_relayed) {
+    context_.hook.note_answer_relayed(auth_, ex->target().id);
+  }
+  const auto hold = hold_server([caller = caller_] { return caller->stream->is_writing(); },
+                                [caller = caller_] {
+                                  caller->stream->close();
+                                  caller->mark_disconnected();
+                                });
   co_await wait_for_answer_turn();
   const auto head =
       caller_head(ex->answer(), framing, head_.request_id, must_close(), context_.settings.names);
--- a/src/proxy/request_body.cpp
+++ b/src/proxy/request_body.cpp
@@ -25,7 +25,7 @@
   case body_state::timed_out:
     if (caller_->is_dropped) {
       return refusal{408, "body_too_slow",
-                     "the body arrived more slowly than the least rate while memory was short",
+                     "the body arrived more slowly than the least rate while others waited",
                      ran_state::no, std::nullopt};
     }
     return refusal{408, "body_timeout", "the body did not arrive before the deadline",
@@ -151,6 +151,11 @@
     co_await send_continue();
   }
   caller_->stream->expires_at(auth_.deadline);
+  const auto hold = hold_server([this] { return is_reading_body_; },
+                                [caller = caller_] {
+                                  caller->is_dropped = true;
+                                  caller->stream->expires_at(base::clock::now());
+                                });
   std::string piece(body_memory_.size(), '\0');
   bool is_last = false;
   while (!is_last && !must_stop_pump_) {
@@ -176,6 +181,9 @@
     if (!is_written) {
       break; // the upstream may have answered early; exchange reads its answer
     }
+    if (is_last && context_.hook.note_body_sent) {
+      context_.hook.note_body_sent(auth_, to->target().id);
+    }
   }
   is_pumping_ = false;
   if (is_last && !must_stop_pump_) {
@@ -184,6 +192,18 @@
   wake_->notify();
 }
 
+/// While the result lives, the request may be ended by `end` when its caller stalls and others need
+/// its server. `is_waiting` tells whether it waits for its caller.
+std::shared_ptr<void> request_handler::hold_server(std::function<bool()> is_waiting,
+                                                   std::function<void()> end) {
+  server_hold hold;
+  hold.service = auth_.service->name;
+  hold.moved = [stream = caller_->stream] { return stream->moved(); };
+  hold.is_waiting = std::move(is_waiting);
+  hold.end = std::move(end);
+  return context_.holds.add(std::move(hold), base::clock::now());
+}
+
 /// Stops forwarding a body that no upstream reads any more.
 awaitable<void> request_handler::stop_pump() {
   must_stop_pump_ = true;
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -212,6 +212,7 @@
     is_streamed_ = true;
     context_.metrics.count("streamed_uploads_total");
   }
+  auth_.has_streamed_body = is_streamed_;
   if (is_chunked_ && !is_streamed_) {
     checked_head_ = head; // the parser adds trailers, which are not checked, to its fields
   }
@@ -412,6 +413,8 @@
                           context.hook.finish(auth);
                         }
                       });
+  const auto wanted =
+      waiting->result ? std::shared_ptr<void>() : context_.holds.want(auth_.service->name);
   const auto refused = co_await wait_for(waiting);
   is_admitted_ = !refused;
   co_return refused;
--- a/src/proxy/request_handler.h
+++ b/src/proxy/request_handler.h
@@ -57,6 +57,7 @@
   bool must_stream_upload();
   caller_memory::holders body_holders() const;
   std::optional<refusal> lease_relay_piece();
+  std::shared_ptr<void> hold_server(std::function<bool()> is_waiting, std::function<void()> end);
   awaitable<void> send_continue();
   std::string workspace_name() const;
   /// True when the request may run at most once for its idempotency key, over all attempts of the
--- a/src/proxy/request_tries.cpp
+++ b/src/proxy/request_tries.cpp
@@ -137,6 +137,7 @@
   }
   auto picked = context_.hook.pick(auth_, fingerprint_, tried_);
   if (!picked) {
+    context_.holds.note_refused(auth_.service->name, base::clock::now());
     if (!failure_ || (picked.error().is_general && !was_sent())) {
       failure_ = picked.error();
     } else if (failure_->status == 503 && !failure_->retry_after) {
@@ -399,6 +400,7 @@
   } else if (ended->had_no_connection()) {
     failure_ = failed(503, "upstream_connections_exhausted",
                       "all connections to the backend server are in use", may_have_run_);
+    context_.holds.note_refused(auth_.service->name, base::clock::now());
     if (active_tries_.empty()) {
       start_try();
     }
--- a/src/proxy/timed_socket.cpp
+++ b/src/proxy/timed_socket.cpp
@@ -8,7 +8,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 
 namespace kingcupshunt::proxy {
 
@@ -176,8 +176,16 @@
   }
   const std::array<asio::const_buffer, 3> buffers = {asio::buffer(first), asio::buffer(second),
                                                      asio::buffer(third)};
-  written_ +=
-      co_await asio::async_write(socket_, buffers, asio::redirect_error(asio::use_awaitable, ec));
+  boost::beast::buffers_suffix rest(buffers);
+  is_writing_ = true;
+  while (!ec && boost::beast::buffer_bytes(rest) > 0) {
+    const auto n =
+        co_await socket_.async_write_some(rest, asio::redirect_error(asio::use_awaitable, ec));
+    written_ += n;
+    sent_ += n;
+    rest.consume(n);
+  }
+  is_writing_ = false;
   // The system reports a reset to one operation only. When this is a write, reads after it would
   // see an orderly end.
   is_reset_ = is_reset_ || ec == asio::error::connection_reset;
--- a/src/proxy/timed_socket.h
+++ b/src/proxy/timed_socket.h
@@ -77,6 +77,11 @@
     return received_;
   } ///< bytes put into the buffer so far
 
+  /// Bytes received and sent so far, also by a write that has not ended.
+  std::uint64_t moved() const noexcept { return received_ + sent_; }
+  /// True while a write waits for the peer to take more.
+  bool is_writing() const noexcept { return is_writing_; }
+
   /// Waits until bytes or the end of the stream can be read.
   awaitable<error_code> wait_readable();
 
@@ -113,6 +118,8 @@
   std::uint64_t received_ = 0;    ///< bytes put into the buffer so far
   std::vector<arrival> arrivals_; ///< of the bytes in the buffer, oldest first
   std::size_t written_ = 0;
+  std::uint64_t sent_ = 0;
+  bool is_writing_ = false;
   std::function<bool(std::size_t)> growth_check_;
   std::size_t next_read_ = min_read_bytes;
   std::size_t read_limit_ = max_read_bytes;
--- a/tests/process/entry_process.h
+++ b/tests/process/entry_process.h
@@ -56,6 +56,7 @@
     out.address = address;
     out.port = port;
     out.body_memory = std::size_t{256} << 20U;
+    out.answer_memory = std::size_t{256} << 20U;
     return out;
   }
 
