--- a/tests/process/uncontrolled_calls_test.cpp
+++ b/tests/process/uncontrolled_calls_test.cpp
@@ -203,6 +203,24 @@
   check_processes(e);
 }
 
+// The entry stops reading a connection whose requests wait; what arrives then stays in its sockets.
+TEST_CASE("requests behind answers that are not read stay within the memory, unread bytes too") {
+  entry_process e;
+  std::string text;
+  for (int i = 0; i < 100; ++i) {
+    text += "GET /read/16000 HTTP/1.1\r\nHost: " + std::string(soak::wire::host) +
+            "\r\nRequest-Id: 1\r\nPadding: " + std::string(2000, 'p') + "\r\n\r\n";
+  }
+  crowd c({e.caller_addresses(), e.entry_address(), entry_process::entry_port}, 1000, text);
+  peaks peak(e.entry());
+  c.send_all([&] { peak.measure(); });
+  e.wait_until_settled();
+  peak.measure();
+  MESSAGE("held ", peak.held_kb, " KiB");
+  CHECK(peak.held_kb <= std::size_t{entry_process::memory_mb} * 1024);
+  check_processes(e);
+}
+
 TEST_CASE("answers of control instances that are not read stay within their memory") {
   process_limits limits;
   limits.memory_mb = 128;
