--- a/include/kingcupshunt/balance/server_board.h
+++ b/include/kingcupshunt/balance/server_board.h
@@ -388,6 +388,7 @@
     double starts_per_second = 0;
   };
   slot_counts count_slots(std::string_view service, base::time_point now) const;
+  running* find_running(std::string_view server, std::uint64_t request);
   static std::uint32_t arriving_at(const server& s) noexcept;
   bool may_stream_to(const server& s) const noexcept;
   bool may_stream(const service_state& of, base::time_point now) const noexcept;
--- a/src/balance/server_board.cpp
+++ b/src/balance/server_board.cpp
@@ -427,27 +427,26 @@
   return arriving < std::max(1.0, slots * settings_.streamed_share);
 }
 
-void server_board::note_body_sent(std::string_view id, std::uint64_t request,
-                                  base::time_point now) {
+server_board::running* server_board::find_running(std::string_view id, std::uint64_t request) {
   const auto it = servers_.find(id);
   if (it == servers_.end()) {
-    return;
+    return nullptr;
   }
-  if (const auto run = it->second.own_requests.find(request);
-      run != it->second.own_requests.end()) {
-    run->second.is_arriving = false;
-    run->second.since = now;
+  const auto run = it->second.own_requests.find(request);
+  return run == it->second.own_requests.end() ? nullptr : &run->second;
+}
+
+void server_board::note_body_sent(std::string_view id, std::uint64_t request,
+                                  base::time_point now) {
+  if (auto* run = find_running(id, request)) {
+    run->is_arriving = false;
+    run->since = now;
   }
 }
 
 void server_board::note_answer_relayed(std::string_view id, std::uint64_t request) {
-  const auto it = servers_.find(id);
-  if (it == servers_.end()) {
-    return;
-  }
-  if (const auto run = it->second.own_requests.find(request);
-      run != it->second.own_requests.end()) {
-    run->second.is_relayed = true;
+  if (auto* run = find_running(id, request)) {
+    run->is_relayed = true;
   }
 }
 
--- a/src/peer/transport_impl.cpp
+++ b/src/peer/transport_impl.cpp
@@ -87,13 +87,12 @@
 /// Closes the oldest connection before its authentication, so that clients that are not of the
 /// fleet can't take the place of instances. One of an instance is done within a few milliseconds.
 void transport::impl::close_oldest_unnamed() {
-  const auto oldest =
-      std::ranges::min_element(unnamed, {}, [](const auto& c) { return c->started_at(); });
-  if (oldest != unnamed.end() && base::clock::now() - (*oldest)->started_at() >= handshake_time) {
-    ++counters.replaced_connections;
-    const auto c = *oldest; // closing removes it
-    c->close();
+  if (unnamed.empty() || base::clock::now() - unnamed.front()->started_at() < handshake_time) {
+    return;
   }
+  ++counters.replaced_connections;
+  const auto oldest = unnamed.front(); // closing removes it
+  oldest->close();
 }
 
 void transport::impl::accepted(tcp::socket s) {
--- a/src/peer/transport_impl.h
+++ b/src/peer/transport_impl.h
@@ -51,7 +51,8 @@
   base::memory_budget frame_memory;
   transport_counters counters;
   std::map<std::string, peer_entry, std::less<>> peers;
-  std::vector<std::shared_ptr<connection>> unnamed; ///< accepted, not yet authenticated
+  /// Accepted, not yet authenticated, the oldest first.
+  std::vector<std::shared_ptr<connection>> unnamed;
   std::size_t incoming_count = 0;
   message_function handler;
   std::function<void(std::string_view, bool)> connect_handler;
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -413,8 +413,9 @@
                           context.hook.finish(auth);
                         }
                       });
-  const auto wanted =
-      waiting->result ? std::shared_ptr<void>() : context_.holds.want(auth_.service->name);
+  const auto wanted = waiting->result
+                          ? std::shared_ptr<void>()
+                          : context_.holds.want(auth_.service->name, base::clock::now());
   const auto refused = co_await wait_for(waiting);
   is_admitted_ = !refused;
   co_return refused;
--- a/src/proxy/server_holds.cpp
+++ b/src/proxy/server_holds.cpp
@@ -25,8 +25,18 @@
   return e;
 }
 
-std::shared_ptr<void> server_holds::want(const std::string& service) {
-  auto& d = demands_[service];
+/// Forgets the demands that have ended before it adds one, since services come and go.
+server_holds::demand& server_holds::demand_of(const std::string& service, base::time_point now) {
+  if (!demands_.contains(service)) {
+    std::erase_if(demands_, [now](const auto& it) {
+      return it.second.waiting.expired() && now >= it.second.until;
+    });
+  }
+  return demands_[service];
+}
+
+std::shared_ptr<void> server_holds::want(const std::string& service, base::time_point now) {
+  auto& d = demand_of(service, now);
   auto out = d.waiting.lock();
   if (!out) {
     out = std::make_shared<char>();
@@ -36,7 +46,7 @@
 }
 
 void server_holds::note_refused(const std::string& service, base::time_point now) {
-  demands_[service].until = now + refusal_lifetime;
+  demand_of(service, now).until = now + refusal_lifetime;
 }
 
 bool server_holds::is_wanted(const std::string& service, base::time_point now) const {
@@ -73,9 +83,6 @@
     }
     return !e;
   });
-  std::erase_if(demands_, [&](const auto& it) {
-    return it.second.waiting.expired() && now >= it.second.until;
-  });
   for (const auto& e : stalled) {
     e->waited = {};
     e->hold.end();
--- a/src/proxy/server_holds.h
+++ b/src/proxy/server_holds.h
@@ -36,7 +36,7 @@
   [[nodiscard]] std::shared_ptr<void> add(server_hold hold, base::time_point now);
 
   /// A request waits for a server of `service` until the returned object is destroyed.
-  [[nodiscard]] std::shared_ptr<void> want(const std::string& service);
+  [[nodiscard]] std::shared_ptr<void> want(const std::string& service, base::time_point now);
 
   /// A request was refused since no server of `service` or no connection to one was free.
   void note_refused(const std::string& service, base::time_point now);
@@ -62,6 +62,7 @@
     base::time_point until{};    ///< of a refusal
   };
 
+  demand& demand_of(const std::string& service, base::time_point now);
   bool is_wanted(const std::string& service, base::time_point now) const;
   bool is_stalled(entry& e, base::time_point now) const;
 
--- a/src/settings/port_limits.cpp
+++ b/src/settings/port_limits.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t call_connections_divisor = 8;
 constexpr std::size_t call_memory_divisor = 8;
 constexpr std::size_t least_call_connections = 64;
-/// The read buffer of a connection to another instance, and what the system holds.
+/// The read buffer of a connection to another instance, and what it has received meanwhile.
 constexpr std::size_t peer_connection_bytes = std::size_t{48} * 1024;
 constexpr std::size_t unauthenticated_divisor = 16;
 constexpr std::size_t unauthenticated_peers = 1024;
--- a/tests/process/crowd.h
+++ b/tests/process/crowd.h
@@ -107,6 +107,7 @@
     REQUIRE(clients_.back().socket >= 0);
   }
 
+  /// Its socket is -1 when it could not be opened and bound.
   static client opened(const std::string& address, const crowd_path& path) {
     client c;
     c.socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -116,7 +117,10 @@
     const auto to = endpoint(path.to, path.port);
     const int is_on = 1;
     setsockopt(c.socket, SOL_SOCKET, SO_REUSEADDR, &is_on, sizeof is_on);
-    (void)bind(c.socket, reinterpret_cast<const sockaddr*>(&from), sizeof from);
+    if (bind(c.socket, reinterpret_cast<const sockaddr*>(&from), sizeof from) != 0) {
+      close(std::exchange(c.socket, -1));
+      return c;
+    }
     c.is_closed = ::connect(c.socket, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0;
     fcntl(c.socket, F_SETFL, O_NONBLOCK);
     return c;
--- a/tests/process/uncontrolled_calls_test.cpp
+++ b/tests/process/uncontrolled_calls_test.cpp
@@ -60,6 +60,13 @@
   return out;
 }
 
+/// A call whose body has `length` bytes, of which `sent` are sent.
+std::string cut_call(std::size_t length, std::size_t sent) {
+  return "POST " + soak::wire::replace_target() +
+         " HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n" +
+         std::string(sent, 'b');
+}
+
 bool is_answered(const std::string& address, std::uint16_t port, const std::string& method,
                  const std::string& target) {
   const auto answer = control::call(address + ":" + std::to_string(port), method, target, "",
@@ -162,17 +169,12 @@
   }
   SUBCASE("control, bodies with a length") {
     const port_crowd c(e, e.control(), entry_process::control_port, many,
-                       "POST " + soak::wire::replace_target() +
-                           " HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n" +
-                           std::string(0x40000, 'b'));
+                       cut_call(900'000, 0x40000));
     CHECK(c.peak.held_kb <= limit_kb);
     check_control(e);
   }
   SUBCASE("control, bodies of a few KiB") {
-    const port_crowd c(e, e.control(), entry_process::control_port, many,
-                       "POST " + soak::wire::replace_target() +
-                           " HTTP/1.1\r\nHost: a\r\nContent-Length: 16000\r\n\r\n" +
-                           std::string(15'000, 'b'));
+    const port_crowd c(e, e.control(), entry_process::control_port, many, cut_call(16'000, 15'000));
     CHECK(c.peak.held_kb <= limit_kb);
     check_control(e);
   }
--- a/tests/proxy/server_holds_test.cpp
+++ b/tests/proxy/server_holds_test.cpp
@@ -41,7 +41,7 @@
   slow_caller stalled(c.holds);
   slow_caller elsewhere(c.holds, "other");
   CHECK(c.run(base::milliseconds(5000)) == 0); // nobody wants the server
-  const auto waiting = c.holds.want("shop");
+  const auto waiting = c.holds.want("shop", c.now);
   CHECK(c.run(base::milliseconds(200)) == 1);
   CHECK(stalled.ended == 1);
   CHECK(elsewhere.ended == 0);
@@ -64,7 +64,7 @@
   slow_caller steady(c.holds);
   slow_caller of_slow_server(c.holds);
   of_slow_server.is_waiting = false;
-  const auto waiting = c.holds.want("shop");
+  const auto waiting = c.holds.want("shop", c.now);
   for (int i = 0; i < 50; ++i) {
     steady.moved += 500; // 5 kB/s
     CHECK(c.run(server_holds::tick_interval) == 0);
@@ -80,7 +80,7 @@
 TEST_CASE("time in which the process was suspended is not held against a caller") {
   clock_and_holds c;
   slow_caller caller(c.holds);
-  const auto waiting = c.holds.want("shop");
+  const auto waiting = c.holds.want("shop", c.now);
   c.run(base::milliseconds(100));
   c.now += base::seconds(10);
   CHECK(c.holds.tick(c.now) == 0);
