--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -46,6 +46,9 @@
   /// Called when a document takes effect on this instance. May be empty.
   std::function<void(const nlohmann::json& content)> on_content;
   std::function<bool(std::string_view peer)> is_connected;
+  /// Writes `records()` to disk and calls `done` with whether it is there now. May be empty: then
+  /// nothing is stored.
+  std::function<void(std::function<void(bool)> done)> store_records;
   std::function<void(std::string_view event, std::string_view detail)> log; ///< may be empty
 };
 
@@ -83,11 +86,13 @@
 
   /// Loads the records that this instance persisted before a restart.
   void restore(std::vector<server_record> records, base::time_point now);
-  /// Records to persist: the ready servers that announce themselves to this instance.
+  /// Records to persist: the departures known here, then the ready servers that announce themselves
+  /// to this instance.
   std::vector<server_record> records() const;
 
   /// Processes an announcement. `done(true)`: the announcement is accepted; for a leaving server,
-  /// a majority of the control instances holds it, so that no new request is sent to the server.
+  /// a majority of the control instances has stored it, so that no new request is sent to the
+  /// server, also after a restart of all of them.
   /// `done(false)`: this instance can't guarantee that.
   void announce(server_record record, std::function<void(bool)> done, base::time_point now);
 
@@ -124,6 +129,11 @@
     record_share message;
     std::function<void(bool)> done;
   };
+  /// How much is known of the departures that another control instance lists.
+  struct seen_departures {
+    std::uint64_t start = 0; ///< of its process
+    std::uint64_t position = 0;
+  };
   /// Announcement of a server whose service no known document names.
   struct waiting_server {
     server_record record;
@@ -153,16 +163,21 @@
   void on_fetch(std::string_view from, const document_fetch& fetch);
   bool is_sound(const server_record& record);
   void on_share(std::string_view from, const record_share& share, base::time_point now);
-  void on_share_ack(std::string_view from, const record_share_ack& ack);
+  void note_share_ack(std::string_view from, std::uint64_t call);
+  void store_records(std::function<void()> done);
+  server_record departed(const std::string& id, std::uint64_t started_ms) const;
+  void ask_for_departures(std::string_view control);
+  void on_departures_ask(std::string_view from, const departures_ask& ask);
+  void on_departures(std::string_view from, const table_part& part, base::time_point now);
+  void remove_expired_servers(base::time_point now);
   void on_join(std::string_view from, const control_join& join, base::time_point now);
   void on_join_answer(const control_join_answer& answer);
   void on_pulse(std::string_view from, const load_report& report, base::time_point now);
   bool is_service_known(const server_record& record) const;
   void wait_for_service(server_record record, base::time_point now);
   void place_waiting(base::time_point now);
-  void share(const std::string& id, bool is_leaving, std::function<void(bool)> done,
-             base::time_point now);
-  void push_changes();
+  void share(server_record record, std::function<void(bool)> done, base::time_point now);
+  void push_changes(base::time_point now);
   void on_failure_share(const load_report& report, base::time_point now);
   bool set_limit(const limit_note& note, base::time_point now);
   void send_limits(std::string_view to, base::time_point now);
@@ -200,6 +215,10 @@
   evacuation_set announced_evacuations_; ///< as last logged and sent to the entries
   std::map<std::uint64_t, pending_share> shares_;
   std::uint64_t next_call_ = 0;
+  std::map<std::string, seen_departures, std::less<>> departures_seen_;
+  std::uint64_t departures_dropped_ = 0; ///< as last logged
+  base::time_point departures_at_{};
+  base::time_point cleanup_at_{};
   std::map<std::string, base::time_point, std::less<>> join_requests_;
   relayed_load loads_;
   cold_relay cold_{settings_.cold_bound};
--- a/include/kingcupshunt/fleet/entry_link.h
+++ b/include/kingcupshunt/fleet/entry_link.h
@@ -90,6 +90,9 @@
   struct control {
     std::uint64_t table_start = 0;
     std::uint64_t table_position = 0;
+    /// All of its table as it was at some time has been applied. Its answers support the lease only
+    /// then: a server that left may be in a part still to come.
+    bool is_table_known = false;
     base::time_point received_at{};
     std::string data_centre;
     std::map<std::uint64_t, base::boot_clock::time_point>
@@ -122,6 +125,7 @@
   base::time_point tunnels_at_{}; ///< when the list was received
   base::time_point query_at_{};
   base::time_point fetch_until_{};
+  base::time_point cleanup_at_{};
   std::uint64_t malformed_ = 0;
   bool was_fresh_ = false;
 };
--- a/include/kingcupshunt/fleet/messages.h
+++ b/include/kingcupshunt/fleet/messages.h
@@ -9,6 +9,7 @@
 
 #include "kingcupshunt/fleet/evacuation.h"
 #include "kingcupshunt/fleet/server_record.h"
+#include "kingcupshunt/peer/message.h"
 
 namespace kingcupshunt::fleet {
 
@@ -20,6 +21,9 @@
 /// Number of entries that a control instance names to an entry that may need a tunnel.
 inline constexpr std::size_t max_listed_tunnels = 8;
 
+/// Greatest part of a server table in one message; the rest follows in further ones.
+inline constexpr std::size_t max_table_bytes = peer::max_body_bytes / 2;
+
 /// Query of an entry instance to a control instance, also its heartbeat (entry_ask).
 struct entry_ask {
   std::uint64_t sequence = 0; ///< increases with each query of one process
@@ -46,15 +50,24 @@
                      MSGPACK_NVP("ev", evacuations), MSGPACK_NVP("np", has_no_path))
 };
 
-/// Changes of one control instance's server table (in entry_answer, or alone as table_push).
+/// Changes of one control instance's server table (in entry_answer, or alone as table_push), or of
+/// the departures in it (departures_part).
 struct table_part {
   std::uint64_t start = 0; ///< random number of the control instance's process
   std::uint64_t from = 0;  ///< position that precedes these changes
   std::uint64_t to = 0;
   std::vector<server_record> records;
+  bool has_more = false; ///< the sender has later changes
 
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("s", start), MSGPACK_NVP("f", from), MSGPACK_NVP("t", to),
-                     MSGPACK_NVP("r", records))
+                     MSGPACK_NVP("r", records), MSGPACK_NVP("m", has_more))
+};
+
+/// Requests the departures that the receiver lists after those known (departures_ask).
+struct departures_ask {
+  std::uint64_t start = 0; ///< of the receiver's process that `position` is of
+  std::uint64_t position = 0;
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("s", start), MSGPACK_NVP("p", position))
 };
 
 /// Answer to entry_ask (entry_answer).
@@ -117,7 +130,7 @@
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("c", call), MSGPACK_NVP("r", records))
 };
 
-/// The records of a share are merged (record_share_ack).
+/// The records of a share are merged, and stored when servers leave (record_share_ack).
 struct record_share_ack {
   std::uint64_t call = 0;
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("c", call))
--- a/include/kingcupshunt/peer/message_kind.h
+++ b/include/kingcupshunt/peer/message_kind.h
@@ -53,6 +53,8 @@
   permit_grant = 112,
   limit_report = 113,
   control_join_answer = 114,
+  departures_ask = 115,
+  departures_part = 116,
 };
 
 } // namespace kingcupshunt::peer
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -15,15 +15,14 @@
 
 namespace {
 
-constexpr std::size_t max_documents = 24;             // rapid successive changes are sent as deltas
-constexpr base::milliseconds table_resend{600};       // an answer of 20 KB on a link of 5 Mbit/s
-constexpr base::milliseconds share_resend{250};       // covers the loss of a message
-constexpr base::milliseconds slow_tick_interval{200}; // for timeouts of seconds
-constexpr base::milliseconds flush_interval{50};      // maximum age of load sums
+constexpr std::size_t max_documents = 24;       // rapid successive changes are sent as deltas
+constexpr base::milliseconds table_resend{600}; // an answer of 20 KB on a link of 5 Mbit/s
+constexpr base::seconds cleanup_interval{1};    // of records past their retention
+constexpr base::milliseconds departures_interval{1500}; // a few bytes where none are new
+constexpr base::milliseconds slow_tick_interval{200};   // for timeouts of seconds
+constexpr base::milliseconds flush_interval{50};        // maximum age of load sums
 constexpr base::milliseconds load_report_timeout{2500}; // entries report at least every second
-constexpr base::seconds gone_retention{60};    // delayed announcements are refused until then
-constexpr base::seconds silent_retention{120}; // records without any update are removed
-constexpr int max_missed_announcements = 3;    // more missed announcements mark a server silent
+constexpr int max_missed_announcements = 3; // more missed announcements mark a server silent
 
 } // namespace
 
@@ -44,23 +43,6 @@
   }
 }
 
-void control_core::restore(std::vector<server_record> records, base::time_point now) {
-  std::erase_if(records, [&](const server_record& r) { return !is_sound(r); });
-  for (auto& r : records) {
-    r.is_restored = true;
-    (void)table_.merge(std::move(r), now); // the table is empty
-  }
-  log("servers_restored", "count=" + std::to_string(table_.size()));
-}
-
-std::vector<server_record> control_core::records() const {
-  auto out = table_.changed_since(0);
-  std::erase_if(out, [&](const server_record& r) {
-    return r.home != settings_.self || r.state != server_state::ready;
-  });
-  return out;
-}
-
 void control_core::apply_pending_document() {
   announce_evacuations();
   if (!pending_document_) {
@@ -89,95 +71,6 @@
   }
 }
 
-std::optional<server_record> control_core::leave_notice(std::string_view id) const {
-  const auto* held = table_.find(id);
-  if (held == nullptr) {
-    return std::nullopt;
-  }
-  auto out = *held;
-  out.state = server_state::gone;
-  return out;
-}
-
-void control_core::announce(server_record record, std::function<void(bool)> done,
-                            base::time_point now) {
-  record.home = settings_.self;
-  const bool is_leaving = record.state != server_state::ready;
-  apply_pending_document();
-  if (!is_service_known(record)) {
-    wait_for_service(std::move(record), now);
-    done(!is_leaving && has_majority_contact(now));
-    return;
-  }
-  waiting_.erase(record.id);
-  const auto id = record.id;
-  const auto* before = table_.find(id);
-  const bool has_moved = before != nullptr && before->home != settings_.self;
-  const auto merged = table_.merge(std::move(record), now);
-  table_.note_announcement(id, now);
-  if (merged == merge_result::changed) {
-    const auto* held = table_.find(id);
-    log("server_changed", "id=" + id + " service=" + held->service +
-                              " state=" + std::to_string(static_cast<int>(held->state)));
-  }
-  // The previous home must be notified, so that it doesn't mark the server silent. Other updates of
-  // ready servers are sent to the entries only, with the next tick.
-  if (!is_leaving && !(has_moved && merged == merge_result::changed)) {
-    done(has_majority_contact(now));
-    return;
-  }
-  push_changes();
-  share(id, is_leaving, std::move(done), now);
-}
-
-void control_core::share(const std::string& id, bool is_leaving, std::function<void(bool)> done,
-                         base::time_point now) {
-  pending_share p;
-  p.message.call = ++next_call_;
-  p.message.records.push_back(*table_.find(id));
-  p.until = now + settings_.share_timeout;
-  p.resend = now + share_resend;
-  p.acked.insert(settings_.self);
-  const auto body = peer::pack(p.message);
-  for (const auto& control : controls_) {
-    hooks_.send(control, message_kind::record_share, body);
-  }
-  if (!is_leaving) {
-    done(has_majority_contact(now));
-  } else {
-    p.done = std::move(done);
-  }
-  if (has_majority(p)) {
-    if (p.done) {
-      p.done(true);
-    }
-    return;
-  }
-  shares_.emplace(p.message.call, std::move(p));
-}
-
-bool control_core::has_majority(const pending_share& p) const {
-  const auto& voters = log_->log().voters();
-  std::size_t n = 0;
-  for (const auto& v : voters.voters) {
-    n += p.acked.contains(v.id) ? 1 : 0;
-  }
-  return !voters.voters.empty() && n >= voters.majority();
-}
-
-void control_core::push_changes() {
-  if (pushed_position_ == table_.position()) {
-    return;
-  }
-  const table_part part{settings_.start, pushed_position_, table_.position(),
-                        table_.changed_since(pushed_position_)};
-  pushed_position_ = table_.position();
-  const auto body = peer::pack(part);
-  for (const auto& [id, e] : entries_) {
-    hooks_.send(id, message_kind::table_push, body);
-  }
-}
-
 void control_core::receive(std::string_view from, message_kind kind, std::string_view body,
                            base::time_point now) {
   bool is_ok = false;
@@ -192,7 +85,14 @@
     is_ok = peer::handle<record_share>(body, [&](const auto& m) { on_share(from, m, now); });
     break;
   case message_kind::record_share_ack:
-    is_ok = peer::handle<record_share_ack>(body, [&](const auto& m) { on_share_ack(from, m); });
+    is_ok =
+        peer::handle<record_share_ack>(body, [&](const auto& m) { note_share_ack(from, m.call); });
+    break;
+  case message_kind::departures_ask:
+    is_ok = peer::handle<departures_ask>(body, [&](const auto& m) { on_departures_ask(from, m); });
+    break;
+  case message_kind::departures_part:
+    is_ok = peer::handle<table_part>(body, [&](const auto& m) { on_departures(from, m, now); });
     break;
   case message_kind::control_join:
     is_ok = peer::handle<control_join>(body, [&](const auto& m) { on_join(from, m, now); });
@@ -265,8 +165,12 @@
   const bool is_in_transit = e.sent_position > answer.table.from && now - e.sent_at < table_resend;
   if (is_in_transit) {
     answer.table.to = answer.table.from;
+    answer.table.has_more = true;
   } else if (answer.table.to > answer.table.from) {
-    answer.table.records = table_.changed_since(answer.table.from, now);
+    auto changes = table_.changes_since(answer.table.from, max_table_bytes, now);
+    answer.table.records = std::move(changes.records);
+    answer.table.to = changes.to;
+    answer.table.has_more = changes.has_more;
     e.sent_position = answer.table.to;
     e.sent_at = now;
   }
@@ -304,76 +208,6 @@
   hooks_.send(from, message_kind::document_content, peer::pack(out));
 }
 
-/// Logs few of the odd records, since a share may be repeated.
-bool control_core::is_sound(const server_record& record) {
-  const auto fault = fault_of(record);
-  if (!fault.empty() && std::has_single_bit(++malformed_)) {
-    log("server_record_refused", fault);
-  }
-  return fault.empty();
-}
-
-void control_core::on_share(std::string_view from, const record_share& share,
-                            base::time_point now) {
-  add_control(from);
-  bool is_urgent = false;
-  for (const auto& r : share.records) {
-    if (!is_sound(r)) {
-      continue;
-    }
-    const auto merged = table_.merge(r, now);
-    is_urgent = is_urgent || (merged == merge_result::changed && r.state != server_state::ready);
-  }
-  if (is_urgent) {
-    push_changes();
-  }
-  if (share.call != 0) {
-    hooks_.send(from, message_kind::record_share_ack, peer::pack(record_share_ack{share.call}));
-  }
-}
-
-void control_core::on_share_ack(std::string_view from, const record_share_ack& ack) {
-  const auto it = shares_.find(ack.call);
-  if (it == shares_.end()) {
-    return;
-  }
-  it->second.acked.emplace(from);
-  if (has_majority(it->second)) {
-    const auto done = std::move(it->second.done);
-    shares_.erase(it);
-    if (done) {
-      done(true);
-    }
-  }
-}
-
-void control_core::check_shares(base::time_point now) {
-  std::vector<std::function<void(bool)>> failed;
-  for (auto it = shares_.begin(); it != shares_.end();) {
-    auto& p = it->second;
-    if (now >= p.until) {
-      failed.push_back(std::move(p.done));
-      it = shares_.erase(it);
-      continue;
-    }
-    if (now >= p.resend) {
-      p.resend = now + share_resend;
-      const auto body = peer::pack(p.message);
-      for (const auto& control : controls_) {
-        if (!p.acked.contains(control)) {
-          hooks_.send(control, message_kind::record_share, body);
-        }
-      }
-    }
-    ++it;
-  }
-  for (const auto& done : failed) {
-    if (done) {
-      done(false);
-    }
-  }
-}
-
 void control_core::add_control(std::string_view id) {
   if (id != settings_.self) {
     controls_.emplace(id);
@@ -405,7 +239,7 @@
   }
   if (now >= push_at_) {
     push_at_ = now + flush_interval;
-    push_changes();
+    push_changes(now);
   }
   if (now < slow_tick_at_) {
     return;
@@ -428,7 +262,16 @@
     loads_.permits.clear(); // another relay issues permits now
     loads_.limited_in.clear();
   }
-  table_.remove_expired(gone_retention, silent_retention, now);
+  if (now >= cleanup_at_) {
+    cleanup_at_ = now + cleanup_interval;
+    remove_expired_servers(now);
+  }
+  if (now >= departures_at_) {
+    departures_at_ = now + departures_interval;
+    for (const auto& control : controls_) {
+      ask_for_departures(control);
+    }
+  }
   std::erase_if(entries_, [&](const auto& item) {
     const bool is_lost = now - item.second.received_at > settings_.entry_timeout * 2;
     if (is_lost) {
--- a/src/fleet/entry_link.cpp
+++ b/src/fleet/entry_link.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t max_pending_queries = 16; // the oldest unanswered one is dropped beyond this
 /// Below the lease, so that a return to a build without evacuations does not end the lease.
 constexpr base::seconds knowing_sender_retention{2};
+constexpr base::seconds gone_retention{60}; // of records; departures are kept for longer
+constexpr base::seconds cleanup_interval{10};
 
 } // namespace
 
@@ -79,6 +81,10 @@
                    " version=" + std::to_string(version_));
   }
   was_fresh_ = is_now_fresh;
+  if (now >= cleanup_at_) {
+    cleanup_at_ = now + cleanup_interval;
+    table_.remove_gone(gone_retention, now);
+  }
 }
 
 void entry_link::query_all(base::time_point now) {
@@ -177,7 +183,7 @@
   apply_table(c, answer.table, now);
   const auto known = lease_.voters_index();
   lease_.set_voters(answer.voters, answer.voters_index);
-  if (answer.is_voter) {
+  if (answer.is_voter && c.is_table_known) {
     lease_.note_answer(from, sent, answer.held);
   }
   apply_evacuations(answer.evacuations);
@@ -244,11 +250,19 @@
     }
     c.table_start = part.start;
     c.table_position = 0;
+    c.is_table_known = false;
+  }
+  if (part.from > c.table_position) {
+    return;
   }
-  if (part.from > c.table_position || part.to <= c.table_position) {
+  c.is_table_known = c.is_table_known || !part.has_more;
+  if (part.to <= c.table_position) {
     return;
   }
   c.table_position = part.to;
+  if (part.has_more) {
+    query_now();
+  }
   for (const auto& r : part.records) {
     if (is_sound(r) && table_.merge(r, now) == merge_result::changed) {
       hooks_.on_server(*table_.find(r.id));
--- a/src/fleet/server_table.cpp
+++ b/src/fleet/server_table.cpp
@@ -11,6 +11,15 @@
 /// Differences up to this are not sent on.
 constexpr base::milliseconds cold_tolerance{250};
 
+/// Keys, numbers and headers of an encoded record.
+constexpr std::size_t record_overhead_bytes = 80;
+
+/// Upper bound of the bytes that `record` takes in a message.
+std::size_t encoded_bytes(const server_record& record) noexcept {
+  return record_overhead_bytes + record.id.size() + record.service.size() + record.address.size() +
+         record.data_centre.size() + record.home.size();
+}
+
 /// Compares the members that affect routing.
 bool has_same_content(const server_record& a, const server_record& b) {
   return a.service == b.service && a.address == b.address && a.data_centre == b.data_centre &&
@@ -59,6 +68,15 @@
   return other != nullptr && other->started_ms > record.started_ms;
 }
 
+bool server_table::has_left(std::string_view id, std::uint64_t started_ms,
+                            base::time_point now) const {
+  return departures_.has_left(id, started_ms, now);
+}
+
+void server_table::note_departed(const server_record& record, base::time_point now) {
+  position_ += departures_.note(record, position_ + 1, now) ? 1 : 0;
+}
+
 void server_table::supersede_address(const server_record& record, base::time_point now) {
   if (record.address.empty()) {
     return;
@@ -75,10 +93,23 @@
 }
 
 merge_result server_table::merge(server_record record, base::time_point now) {
+  const auto it = entries_.find(record.id);
+  if (record.state == server_state::ready) {
+    if (has_left(record.id, record.started_ms, now)) {
+      return merge_result::stale;
+    }
+  } else {
+    const auto* held = it == entries_.end() ? nullptr : &it->second.record;
+    const bool is_of_former = held != nullptr && held->state == server_state::ready &&
+                              record.started_ms < held->started_ms;
+    if (is_of_former) {
+      return merge_result::stale;
+    }
+    note_departed(record, now);
+  }
   if (record.state != server_state::gone && is_superseded(record)) {
     record.state = server_state::gone;
   }
-  const auto it = entries_.find(record.id);
   if (it == entries_.end()) {
     if (record.state != server_state::gone) {
       supersede_address(record, now);
@@ -90,23 +121,29 @@
     touch(e, now);
     return merge_result::changed;
   }
-  auto& held = it->second.record;
+  return merge_known(it->second, std::move(record), now);
+}
+
+merge_result server_table::merge_known(entry& e, server_record record, base::time_point now) {
+  auto& held = e.record;
   const bool is_former = record.started_ms < held.started_ms;
   const bool is_same = record.started_ms == held.started_ms;
   if (is_former || (is_same && (held.state == server_state::gone || record.is_restored))) {
     return merge_result::stale;
   }
   if (is_same) {
-    // A leave notice carries no sequence. The state never goes back within an incarnation.
+    // A leave notice carries no sequence, and that of a draining server may arrive after a later
+    // announcement. The state never goes back within an incarnation.
     const bool is_leave_notice = record.state == server_state::gone;
-    if (!is_leave_notice && (record.sequence < held.sequence || record.state < held.state)) {
-      return merge_result::stale;
-    }
-    if (is_leave_notice) {
-      held.state = server_state::gone;
-      touch(it->second, now);
+    const bool is_late_leave = record.state > held.state && record.sequence < held.sequence;
+    if (is_leave_notice || is_late_leave) {
+      held.state = record.state;
+      touch(e, now);
       return merge_result::changed;
     }
+    if (record.sequence < held.sequence || record.state < held.state) {
+      return merge_result::stale;
+    }
     // The home may differ at equal sequence: a copy from another instance names the server's new
     // home.
     const bool is_copy = record.sequence == held.sequence && has_same_content(record, held);
@@ -115,7 +152,7 @@
     }
   }
   const bool is_later_copy = is_same && record.sequence == held.sequence; // of another home
-  const bool is_colder = !is_later_copy && note_cold(it->second, record, !is_same, now);
+  const bool is_colder = !is_later_copy && note_cold(e, record, !is_same, now);
   const bool is_change = is_colder || !has_same_content(record, held);
   if (is_change && record.state != server_state::gone) {
     supersede_address(record, now);
@@ -124,7 +161,7 @@
   if (!is_change) {
     return merge_result::repeated;
   }
-  touch(it->second, now);
+  touch(e, now);
   return merge_result::changed;
 }
 
@@ -150,18 +187,31 @@
   return n;
 }
 
-void server_table::remove_expired(base::duration gone_retention, base::duration silent_retention,
-                                  base::time_point now) {
+void server_table::remove_holder(const server_record& record) {
+  const auto holder = holders_.find(record.address);
+  if (holder != holders_.end() && holder->second == record.id) {
+    holders_.erase(holder);
+  }
+}
+
+void server_table::remove_gone(base::duration gone_retention, base::time_point now) {
+  departures_.remove_expired(now);
+  std::erase_if(entries_, [&](const auto& item) {
+    const auto& e = item.second;
+    const bool is_due = e.record.state == server_state::gone && now - e.changed_at > gone_retention;
+    if (is_due) {
+      remove_holder(e.record);
+    }
+    return is_due;
+  });
+}
+
+void server_table::remove_silent(base::duration silent_retention, base::time_point now) {
   std::erase_if(entries_, [&](const auto& item) {
     const auto& e = item.second;
-    const bool is_due =
-        (e.record.state == server_state::gone && now - e.changed_at > gone_retention) ||
-        (now - std::max(e.received_at, e.changed_at) > silent_retention);
+    const bool is_due = now - std::max(e.received_at, e.changed_at) > silent_retention;
     if (is_due) {
-      const auto holder = holders_.find(e.record.address);
-      if (holder != holders_.end() && holder->second == item.first) {
-        holders_.erase(holder);
-      }
+      remove_holder(e.record);
     }
     return is_due;
   });
@@ -177,18 +227,80 @@
 }
 
 std::vector<server_record> server_table::changed_since(std::uint64_t position) const {
-  std::vector<const entry*> found;
+  std::vector<server_record> out;
+  for (const auto* e : entries_since(position)) {
+    out.push_back(e->record);
+  }
+  return out;
+}
+
+std::vector<const server_table::entry*> server_table::entries_since(std::uint64_t position) const {
+  std::vector<const entry*> out;
   for (const auto& [id, e] : entries_) {
     if (e.position > position) {
-      found.push_back(&e);
+      out.push_back(&e);
     }
   }
-  std::ranges::sort(found, {}, &entry::position);
-  std::vector<server_record> out;
-  out.reserve(found.size());
-  for (const auto* e : found) {
-    out.push_back(e->record);
+  std::ranges::sort(out, {}, &entry::position);
+  return out;
+}
+
+/// Whether the record of the server itself says as much as its departure.
+bool server_table::is_listed(const departure_list::departure& d) const {
+  const auto* held = find(d.record.id);
+  return held != nullptr && held->started_ms == d.record.started_ms &&
+         held->state >= d.record.state;
+}
+
+table_changes server_table::changes_since(std::uint64_t position, std::size_t max_bytes,
+                                          base::time_point now) const {
+  const auto changed = entries_since(position);
+  const auto& departures = departures_.by_position();
+  auto entry_at = changed.begin();
+  auto departure_at = departures.upper_bound(position);
+  table_changes out;
+  out.to = position;
+  std::size_t n = 0;
+  while (entry_at != changed.end() || departure_at != departures.end()) {
+    const bool is_departure =
+        departure_at != departures.end() &&
+        (entry_at == changed.end() || departure_at->first < (*entry_at)->position);
+    if (is_departure && is_listed(departure_at->second)) {
+      ++departure_at;
+      continue;
+    }
+    auto record = is_departure ? departure_at->second.record : (*entry_at)->record;
+    if (!is_departure) {
+      record.cold_left_ms = cold_left_ms(**entry_at, now);
+    }
+    n += encoded_bytes(record);
+    if (n > max_bytes && !out.records.empty()) {
+      out.has_more = true;
+      return out;
+    }
+    out.to = is_departure ? departure_at->first : (*entry_at)->position;
+    out.records.push_back(std::move(record));
+    is_departure ? void(++departure_at) : void(++entry_at);
+  }
+  out.to = position_;
+  return out;
+}
+
+table_changes server_table::departures_since(std::uint64_t position, std::size_t max_bytes) const {
+  const auto& departures = departures_.by_position();
+  table_changes out;
+  out.to = position;
+  std::size_t n = 0;
+  for (auto it = departures.upper_bound(position); it != departures.end(); ++it) {
+    n += encoded_bytes(it->second.record);
+    if (n > max_bytes && !out.records.empty()) {
+      out.has_more = true;
+      return out;
+    }
+    out.to = it->first;
+    out.records.push_back(it->second.record);
   }
+  out.to = position_;
   return out;
 }
 
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/post.hpp>
-#include <boost/asio/thread_pool.hpp>
 #include <nlohmann/json.hpp>
 
 #include "kingcupshunt/config/snapshot.h"
@@ -12,6 +10,7 @@
 #include "kingcupshunt/rates/owner.h"
 #include "log_disk.h"
 #include "role_runtime.h"
+#include "server_file.h"
 
 namespace kingcupshunt::node {
 
@@ -29,7 +28,6 @@
 /// Election timeout of a process that has just started. It can be short without deposing a leader,
 /// since instances that receive heartbeats of a leader grant no vote.
 constexpr base::milliseconds first_election_timeout{150};
-constexpr const char* servers_file = "servers";
 constexpr base::seconds servers_write_interval{1};
 
 } // namespace
@@ -48,8 +46,7 @@
   void on_message(std::string_view from, message_kind kind, const std::string& body);
   void on_document(const fleet::versioned_document& document);
   void on_content(const nlohmann::json& content);
-  void restore_servers();
-  void write_servers(base::time_point now);
+  void store_servers(base::time_point now);
   void on_tick(base::time_point now);
   void update_voters(base::time_point now);
   void stop();
@@ -68,10 +65,9 @@
   std::uint64_t view_index = 0;
   bool has_view = false;
   std::shared_ptr<storage::file_system> files = storage::make_system_files();
-  std::uint64_t written_position = 0;
-  base::time_point next_write{};
-  bool is_writing = false;
-  boost::asio::thread_pool writer{1}; ///< last member: its thread is joined first
+  std::uint64_t stored_position = 0; ///< of the server table
+  base::time_point next_store{};
+  std::unique_ptr<server_file> servers; ///< last member: its thread is joined first
 };
 
 role_hooks control_node::impl::make_role_hooks() {
@@ -131,6 +127,11 @@
     runtime.metrics.count("control_events_total", event);
     observe::log_info(event, {{"detail", detail}});
   };
+  core_hooks.store_records = [this](std::function<void(bool)> done) {
+    servers->store(std::move(done));
+  };
+  servers = std::make_unique<server_file>(runtime.io, files, s.data_folder,
+                                          [this] { return core->records(); });
   core = std::make_unique<fleet::control_core>(std::move(core_settings), std::move(core_hooks));
   for (const auto& id : s.seeds) {
     core->add_control(id);
@@ -149,7 +150,8 @@
   owner_hooks.is_fresh = [this] { return core->has_majority_contact(base::clock::now()); };
   rate_owner = std::make_unique<rates::owner>(std::move(owner_settings), std::move(owner_hooks));
   open_log(std::move(found));
-  restore_servers();
+  core->restore(servers->load(), base::clock::now());
+  stored_position = core->servers().position();
   return base::success();
 }
 
@@ -225,36 +227,16 @@
   configuration = std::move(next);
 }
 
-void control_node::impl::restore_servers() {
-  const auto text = files->read(runtime.settings.data_folder + "/" + servers_file);
-  const auto stored = text ? peer::unpack<fleet::record_share>(text.value()) : std::nullopt;
-  if (stored) {
-    core->restore(stored->records, base::clock::now());
-  }
-  written_position = core->servers().position();
-}
-
-/// Stores the server table, so that after a power loss of all instances callers are served before
-/// every server has announced itself again. Writes on the writer thread, off the event loop.
-void control_node::impl::write_servers(base::time_point now) {
+/// Stores the server table when it has changed, so that after a power loss of all instances callers
+/// are served before every server has announced itself again. Leaves are stored at once instead.
+void control_node::impl::store_servers(base::time_point now) {
   const auto position = core->servers().position();
-  if (is_writing || now < next_write || position == written_position) {
+  if (servers->is_writing() || now < next_store || position == stored_position) {
     return;
   }
-  is_writing = true;
-  written_position = position;
-  next_write = now + servers_write_interval;
-  boost::asio::post(writer, [this, text = peer::pack(fleet::record_share{0, core->records()})] {
-    const auto written =
-        storage::write_whole(*files, runtime.settings.data_folder, servers_file, text);
-    boost::asio::post(
-        runtime.io, [this, failure = written ? std::string() : storage::describe(written.error())] {
-          is_writing = false;
-          if (!failure.empty()) {
-            observe::log_warning("servers_not_written", {{"error", failure}});
-          }
-        });
-  });
+  stored_position = position;
+  next_store = now + servers_write_interval;
+  servers->store([](bool) {}); // a failure is logged
 }
 
 void control_node::impl::on_message(std::string_view from, message_kind kind,
@@ -305,7 +287,7 @@
   core->tick(now);
   update_voters(now);
   rate_owner->tick(now);
-  write_servers(now);
+  store_servers(now);
 }
 
 void control_node::impl::stop() {
