--- a/include/kingcupshunt/fleet/messages.h
+++ b/include/kingcupshunt/fleet/messages.h
@@ -173,6 +173,10 @@
                      MSGPACK_NVP("l", is_lost))
 };
 
+/// Bounds of the numbers in load messages. Their sum over all instances fits 32 bits.
+inline constexpr std::uint32_t max_in_flight = 100'000; ///< requests at one server
+inline constexpr std::uint32_t max_demand = 100'000;   ///< requests of one service and rank
+
 struct server_load {
   std::string server;
   std::uint32_t in_flight = 0;
@@ -193,6 +197,7 @@
 /// or the end of limits, for the instances that reported them (limit_report).
 struct limit_report {
   std::vector<limit_note> limits;
+  void apply_bounds();
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("m", limits))
 };
 
@@ -230,6 +235,7 @@
   /// Changed values, and those above 0 again at short intervals. Sent only by entries with fleet
   /// admission; builds without it skip the member.
   std::vector<demand_note> demands = {};
+  void apply_bounds();
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", is_full), MSGPACK_NVP("l", loads), MSGPACK_NVP("f", failures),
                      MSGPACK_NVP("m", limits), MSGPACK_NVP("c", cold), MSGPACK_NVP("t", stamp),
                      MSGPACK_NVP("d", demands))
@@ -248,6 +254,7 @@
   std::vector<server_permits> cold{}; ///< for cold servers; the lifetime counts from their issue
   std::uint64_t stamp = 0;            ///< of the receiver's last report
   std::uint32_t age_ms = 0; ///< time from the receipt of that report to the issue of `cold`
+  void apply_bounds();
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("p", permits), MSGPACK_NVP("c", cold), MSGPACK_NVP("t", stamp),
                      MSGPACK_NVP("g", age_ms))
 };
--- a/include/kingcupshunt/fleet/server_record.h
+++ b/include/kingcupshunt/fleet/server_record.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <msgpack.hpp>
@@ -24,6 +25,7 @@
 
 /// Bounds of a record. Another writer may announce servers too, with any values.
 inline constexpr std::size_t max_record_text_bytes = 256; ///< of each text
+inline constexpr std::size_t max_nameless_records = 16;   ///< kept of a list, to be counted
 inline constexpr std::uint32_t max_server_slots = 10'000;
 /// The year 2100. All later announcements of a server with a greater start would be old ones.
 inline constexpr std::uint64_t max_started_ms = 4'102'444'800'000;
@@ -70,12 +72,18 @@
       if (from.type != msgpack::type::ARRAY) {
         throw msgpack::type_error();
       }
-      to.assign(from.via.array.size, {});
+      to.clear();
+      std::size_t n = 0; // without an id; an odd element takes a byte, a record hundreds
       for (std::uint32_t i = 0; i < from.via.array.size; ++i) {
+        kingcupshunt::fleet::server_record record;
         try {
-          from.via.array.ptr[i].convert(to[i]);
+          from.via.array.ptr[i].convert(record);
         } catch (const msgpack::type_error&) {
-          to[i] = {}; // counted by the receiver, as fault_of says
+          record = {}; // counted by the receiver, as fault_of says
+        }
+        n += record.id.empty() ? 1 : 0;
+        if (!record.id.empty() || n <= kingcupshunt::fleet::max_nameless_records) {
+          to.push_back(std::move(record));
         }
       }
       return from;
--- a/include/kingcupshunt/peer/message.h
+++ b/include/kingcupshunt/peer/message.h
@@ -37,7 +37,8 @@
 }
 
 /// Parses one message. Empty when `body` is not valid msgpack, has trailing bytes or a member of
-/// another type. Unknown members are skipped; missing ones keep their default.
+/// another type. Unknown members are skipped; missing ones keep their default. A message whose
+/// numbers have bounds states them in `apply_bounds()`, which is called on what was read.
 template <class T>
 std::optional<T> unpack(std::string_view body) {
   try {
@@ -49,6 +50,9 @@
     }
     T out{};
     handle.get().convert(out);
+    if constexpr (requires { out.apply_bounds(); }) {
+      out.apply_bounds();
+    }
     return out;
   } catch (const msgpack::unpack_error&) {
     return std::nullopt;
--- a/include/kingcupshunt/rates/bucket.h
+++ b/include/kingcupshunt/rates/bucket.h
@@ -85,6 +85,7 @@
 private:
   void settle_spent(std::uint32_t n, const std::vector<std::uint32_t>& ages_us,
                     base::time_point now);
+  void settle_spent_at(std::uint32_t n, base::time_point spent_at, base::time_point now);
   void settle_returned(std::uint32_t n);
   void remove_oldest(account& a, std::uint32_t n);
   void check_unblocked();
--- a/include/kingcupshunt/rates/messages.h
+++ b/include/kingcupshunt/rates/messages.h
@@ -8,6 +8,13 @@
 
 namespace kingcupshunt::rates {
 
+/// Greatest number of tokens in a message: the greatest burst that a configuration may state.
+inline constexpr std::uint32_t max_tokens = 10'000'000;
+/// Greatest number of waiting requests of one workspace that an instance states.
+inline constexpr std::uint32_t max_urgent = 1'000'000;
+/// Greatest retry time in milliseconds.
+inline constexpr std::uint32_t max_retry_ms = 3'600'000;
+
 /// State of one workspace at an instance, with a request for tokens. Each item of a newer frame
 /// replaces those of older frames and cancels their unanswered requests.
 struct token_request_item {
@@ -41,6 +48,7 @@
   std::uint64_t seq = 0;         ///< increases with every frame of this incarnation
   std::uint64_t term = 0;        ///< last known incarnation of the owner, 0 when unknown
   std::vector<token_request_item> items;
+  void apply_bounds();
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("i", incarnation), MSGPACK_NVP("q", seq), MSGPACK_NVP("t", term),
                      MSGPACK_NVP("x", items))
 };
@@ -54,6 +62,7 @@
   std::uint64_t claim_since = 0;
   std::uint64_t claim_version = 0;
 
+  void apply_bounds();
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("h", handovers), MSGPACK_NVP("cs", claim_since),
                      MSGPACK_NVP("cv", claim_version))
 };
@@ -89,6 +98,7 @@
   std::uint64_t term = 0;        ///< incarnation of the owner
   std::vector<grant_item> items;
 
+  void apply_bounds();
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("i", incarnation), MSGPACK_NVP("t", term), MSGPACK_NVP("x", items))
 };
 
--- a/include/kingcupshunt/rates/permit_issuer.h
+++ b/include/kingcupshunt/rates/permit_issuer.h
@@ -44,13 +44,13 @@
 public:
   explicit permit_issuer(permit_settings settings = {}) : settings_(settings) {}
 
-  /// Sets the limit of a server, requests per second; empty: it has none. Returns whether it
-  /// changed.
+  /// Sets the limit of a server, requests per second; empty, or more than counts as a limit: it has
+  /// none. Returns whether it changed.
   bool set_limit(std::string_view server, std::optional<double> per_second, base::time_point now);
   void clear() { servers_.clear(); }
 
-  /// Permits that have accrued since the last call. `recipients_of` is called for each server with
-  /// a limit.
+  /// Permits that have accrued since the last call, at most one element for each server and
+  /// recipient. `recipients_of` is called for each server with a limit.
   std::vector<issued_permit>
   issue(const std::function<permit_recipients(std::string_view server)>& recipients_of,
         base::time_point now);
--- a/src/proxy/exchange_notices.cpp
+++ b/src/proxy/exchange_notices.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "kingcupshunt/proxy/head_checks.h"
+#include "kingcupshunt/rates/server_limit.h"
 
 namespace kingcupshunt::proxy {
 
@@ -23,8 +24,9 @@
     return;
   }
   if (const auto limit = server_limit_of({answer()[name].data(), answer()[name].size()})) {
-    limit_ = health::limit_notice::limited;
-    server_limit_ = *limit;
+    const auto in_force = rates::limit_in_force(*limit);
+    limit_ = in_force ? health::limit_notice::limited : health::limit_notice::none;
+    server_limit_ = in_force.value_or(0);
   } else {
     limit_ = health::limit_notice::unknown;
     context_.metrics.count("upstream_limits_unreadable_total");
--- a/src/rates/bucket.cpp
+++ b/src/rates/bucket.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <span>
 
 namespace kingcupshunt::rates {
 
@@ -137,28 +138,36 @@
   // Each spend freed capacity at the moment it happened, which is `now - age` at the latest.
   // Accrual that the burst has stopped since then is credited. Without the credit, a burst smaller
   // than rate x round trip would limit the workspace to burst / round trip.
-  for (std::uint32_t i = 0; i < n; ++i) {
-    outstanding_ -= 1;
-    if (!blocked_since_ || limit_.rate <= 0) {
-      blocked_since_.reset();
-      continue;
-    }
-    auto spent_at = now;
-    if (!ages_us.empty()) {
-      const std::size_t back = n - i; // 1 for the newest spend
-      const auto age = ages_us[ages_us.size() - std::min<std::size_t>(back, ages_us.size())];
-      spent_at = now - base::shorten_by_drift(base::microseconds(age));
-    }
-    const auto from = std::max(spent_at, *blocked_since_);
-    const double credit = std::min(1.0, std::max(0.0, accrual(now - from)));
-    const double free_capacity = limit_.burst - level_ - static_cast<double>(outstanding_);
-    level_ += std::min(credit, std::max(free_capacity, 0.0));
-    if (credit < 1.0) {
-      blocked_since_.reset();
-    } else {
-      blocked_since_ = std::min(
-          now, from + base::from_seconds(1.0 / (limit_.rate * (1.0 - base::clock_drift_bound))));
-    }
+  const auto time_of = [now](std::uint32_t age_us) {
+    return now - base::shorten_by_drift(base::microseconds(age_us));
+  };
+  const auto listed = static_cast<std::uint32_t>(std::min<std::size_t>(n, ages_us.size()));
+  // Spends that are not listed are older than those that are.
+  settle_spent_at(n - listed, ages_us.empty() ? now : time_of(ages_us.front()), now);
+  for (const auto age : std::span(ages_us).last(listed)) {
+    settle_spent_at(1, time_of(age), now);
+  }
+}
+
+/// In one step for all spends of one time: their number is as great as a burst may be.
+void bucket::settle_spent_at(std::uint32_t n, base::time_point spent_at, base::time_point now) {
+  if (n == 0) {
+    return;
+  }
+  outstanding_ -= n;
+  if (!blocked_since_ || limit_.rate <= 0) {
+    blocked_since_.reset();
+    return;
+  }
+  const auto from = std::max(spent_at, *blocked_since_);
+  const double credit = std::min<double>(n, std::max(0.0, accrual(now - from)));
+  const double free_capacity = limit_.burst - level_ - static_cast<double>(outstanding_);
+  level_ += std::min(credit, std::max(free_capacity, 0.0));
+  if (credit < n) {
+    blocked_since_.reset();
+  } else {
+    blocked_since_ = std::min(
+        now, from + base::from_seconds(n / (limit_.rate * (1.0 - base::clock_drift_bound))));
   }
 }
 
--- a/src/rates/owner.cpp
+++ b/src/rates/owner.cpp
@@ -50,6 +50,48 @@
   return std::max(0.0, tokens - b.level()) / b.limits().rate;
 }
 
+using queued_shares =
+    std::vector<std::pair<std::map<account_key, account>::iterator, std::uint32_t>>;
+
+// Gives urgent requests up to `free` tokens, one in turn to each account that needs more, and sets
+// `cursor` to the account that got the last one. Returns the number given. Counts whole rounds at
+// once, since an instance may name any number of requests.
+std::uint64_t share_urgent(queued_shares& shares, std::uint64_t free, account_key& cursor) {
+  const auto given_in = [&](std::uint64_t rounds) {
+    std::uint64_t n = 0;
+    for (const auto& [it, tokens] : shares) {
+      n += std::min<std::uint64_t>(it->second.queued->urgent, rounds);
+    }
+    return n;
+  };
+  std::uint64_t rounds = 0; // the most for which the tokens suffice
+  std::uint64_t too_many = 1;
+  for (const auto& [it, tokens] : shares) {
+    too_many = std::max<std::uint64_t>(too_many, std::uint64_t{it->second.queued->urgent} + 1);
+  }
+  while (too_many - rounds > 1) {
+    const auto middle = rounds + (too_many - rounds) / 2;
+    (given_in(middle) <= free ? rounds : too_many) = middle;
+  }
+  auto left = free - given_in(rounds);
+  const auto given = free - left;
+  std::uint64_t extra = 0;
+  for (auto& [it, tokens] : shares) {
+    const auto urgent = it->second.queued->urgent;
+    tokens = static_cast<std::uint32_t>(std::min<std::uint64_t>(urgent, rounds));
+    if (rounds > 0 && tokens == rounds && extra == 0) {
+      cursor = it->first;
+    }
+    if (left > 0 && urgent > rounds) {
+      ++tokens;
+      --left;
+      ++extra;
+      cursor = it->first;
+    }
+  }
+  return given + extra;
+}
+
 } // namespace
 
 owner::owner(owner_settings settings, owner_hooks hooks)
@@ -213,7 +255,7 @@
 void owner::serve(const std::string& workspace, bucket& b, base::time_point now) {
   auto& accounts = b.accounts();
   auto free = static_cast<std::uint64_t>(std::max(0.0, std::floor(b.level())));
-  std::vector<std::pair<std::map<account_key, account>::iterator, std::uint32_t>> shares;
+  queued_shares shares;
   // Round robin over the queued requests, beginning after the account served last.
   const auto start = accounts.upper_bound(b.cursor);
   const auto add = [&](auto first, auto last) {
@@ -225,17 +267,7 @@
   };
   add(start, accounts.end());
   add(accounts.begin(), start);
-  for (bool is_any = true; is_any && free > 0;) {
-    is_any = false;
-    for (auto& [it, tokens] : shares) {
-      if (free > 0 && tokens < it->second.queued->urgent) {
-        ++tokens;
-        --free;
-        is_any = true;
-        b.cursor = it->first;
-      }
-    }
-  }
+  free -= share_urgent(shares, free, b.cursor);
   // Prefetches share the remaining tokens, so that one instance cannot take all.
   const auto cap = free / (accounts.size() + 1);
   for (auto& [it, tokens] : shares) {
--- a/src/rates/permit_issuer.cpp
+++ b/src/rates/permit_issuer.cpp
@@ -3,12 +3,16 @@
 #include <algorithm>
 
 #include "kingcupshunt/base/hash.h"
+#include "kingcupshunt/rates/server_limit.h"
 
 namespace kingcupshunt::rates {
 
 bool permit_issuer::set_limit(std::string_view server, std::optional<double> per_second,
                               base::time_point now) {
   const auto it = servers_.find(server);
+  if (per_second) {
+    per_second = limit_in_force(*per_second);
+  }
   if (!per_second) {
     if (it == servers_.end()) {
       return false;
@@ -38,11 +42,13 @@
     s.level = std::min(s.level, 1.0 + rate * base::to_seconds(settings_.max_accrual));
     s.at = now;
     const auto n = recipients.ids.size();
-    const auto free = n == 0 ? 0 : static_cast<std::uint32_t>(s.level);
-    for (std::uint32_t i = 0; i < free; ++i) {
-      out.push_back({recipients.ids[s.turn++ % n], id, 1});
+    const std::size_t free = n == 0 ? 0 : static_cast<std::size_t>(s.level);
+    for (std::size_t i = 0; i < std::min(n, free); ++i) {
+      const auto permits = free / n + (i < free % n ? 1 : 0);
+      out.push_back({recipients.ids[(s.turn + i) % n], id, static_cast<std::uint32_t>(permits)});
     }
-    s.level -= free;
+    s.turn += free;
+    s.level -= static_cast<double>(free);
   }
   return out;
 }
--- a/src/rates/request_permits.cpp
+++ b/src/rates/request_permits.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "kingcupshunt/rates/server_limit.h"
+
 namespace kingcupshunt::rates {
 
 bool request_permits::set_limit(std::optional<double> per_second) {
@@ -28,7 +30,12 @@
     return; // issued before the limit ended
   }
   std::erase_if(batches_, [now](const batch& b) { return b.expires <= now; });
-  batches_.insert(std::ranges::upper_bound(batches_, expires, {}, &batch::expires), {expires, n});
+  const auto it = std::ranges::lower_bound(batches_, expires, {}, &batch::expires);
+  if (it != batches_.end() && it->expires == expires) {
+    it->permits = std::min(it->permits + std::min(n, max_permits), max_permits);
+  } else {
+    batches_.insert(it, {expires, std::min(n, max_permits)});
+  }
 }
 
 std::uint32_t request_permits::available(base::time_point now) const noexcept {
