--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -49,7 +49,6 @@
   /// Writes `records()` to disk and calls `done` with whether it is there now. May be empty: then
   /// nothing is stored.
   std::function<void(std::function<void(bool)> done)> store_records;
-  std::function<bool(base::time_point now)> is_granting; ///< tokens of rates; may be empty
   std::function<void(std::string_view event, std::string_view detail)> log; ///< may be empty
 };
 
--- a/include/kingcupshunt/fleet/entry_link.h
+++ b/include/kingcupshunt/fleet/entry_link.h
@@ -73,13 +73,6 @@
   std::set<std::string, std::less<>> controls() const;
   /// Entry instances that the control instances know, this one included.
   std::uint32_t entry_count() const noexcept { return entry_count_; }
-  /// Entry instances that may admit requests by shares of a rate: the most that any control
-  /// instance knew lately, since one that has just started knows few. 0 until this entry has been
-  /// in contact for some seconds.
-  std::uint32_t sharing_entries(base::time_point now) const;
-  /// When the newest query was sent that the control instance answered as one that grants tokens;
-  /// the epoch: none.
-  base::time_point granting_at(std::string_view id) const;
   /// "ip:port" of entries that connect this one to servers which it cannot reach itself.
   const std::vector<std::string>& tunnels() const noexcept { return tunnels_; }
   /// Removes a tunnel that led nowhere until a control instance names it again. The entry behind it
@@ -101,7 +94,6 @@
     /// then: a server that left may be in a part still to come.
     bool is_table_known = false;
     base::time_point received_at{};
-    base::time_point granting_at{}; ///< sending time of the last query answered as granting
     std::string data_centre;
     std::map<std::uint64_t, base::boot_clock::time_point>
         pending_queries; ///< sequence to sending time
@@ -109,7 +101,6 @@
 
   void query_all(base::time_point now);
   bool is_short_of_tunnels() const;
-  void note_entries(std::uint32_t n, base::time_point now);
   void on_answer(std::string_view from, const entry_answer& answer, base::time_point now);
   void on_content(const document_content& content, base::time_point now);
   void apply_evacuations(const evacuation_set& evacuations);
@@ -130,10 +121,6 @@
   entry_lease lease_;
   std::uint64_t sequence_ = 0;
   std::uint32_t entry_count_ = 1;
-  base::time_point first_answer_at_{};
-  std::uint32_t most_entries_ = 0;        ///< in answers since `most_entries_at_`
-  std::uint32_t former_most_entries_ = 0; ///< in the interval before
-  base::time_point most_entries_at_{};
   std::vector<std::string> tunnels_;
   base::time_point tunnels_at_{}; ///< when the list was received
   base::time_point query_at_{};
--- a/include/kingcupshunt/fleet/messages.h
+++ b/include/kingcupshunt/fleet/messages.h
@@ -85,16 +85,13 @@
   table_part table;
   bool knows_evacuations = false; ///< false: a build that ignores the orders in its log
   evacuation_set evacuations; ///< after `applied`; only the number when the query names the same
-  /// The sender grants tokens of the rates that it owns; earlier builds don't say when they do not.
-  bool is_granting = true;
 
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("q", sequence), MSGPACK_NVP("v", is_voter), MSGPACK_NVP("h", held),
                      MSGPACK_NVP("a", applied), MSGPACK_NVP("d", document),
                      MSGPACK_NVP("vs", voters), MSGPACK_NVP("z", data_centre),
                      MSGPACK_NVP("vi", voters_index), MSGPACK_NVP("n", entries),
                      MSGPACK_NVP("tu", tunnels), MSGPACK_NVP("t", table),
-                     MSGPACK_NVP("ke", knows_evacuations), MSGPACK_NVP("ev", evacuations),
-                     MSGPACK_NVP("g", is_granting))
+                     MSGPACK_NVP("ke", knows_evacuations), MSGPACK_NVP("ev", evacuations))
 };
 
 /// A control instance has applied a further document or other evacuations (commit_notice).
@@ -178,7 +175,7 @@
 
 /// Bounds of the numbers in load messages. Their sum over all instances fits 32 bits.
 inline constexpr std::uint32_t max_in_flight = 100'000; ///< requests at one server
-inline constexpr std::uint32_t max_demand = 100'000;    ///< requests of one service and rank
+inline constexpr std::uint32_t max_demand = 100'000;   ///< requests of one service and rank
 
 struct server_load {
   std::string server;
--- a/include/kingcupshunt/rates/bucket.h
+++ b/include/kingcupshunt/rates/bucket.h
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include "kingcupshunt/base/time.h"
-#include "kingcupshunt/rates/attachment.h"
 #include "kingcupshunt/rates/limit.h"
 #include "kingcupshunt/rates/messages.h"
 
@@ -50,10 +49,6 @@
   /// Bucket from the state that the former owner of a workspace has handed over at `now`.
   static bucket take_over(limit l, const handover& h, base::time_point now);
 
-  /// Applies a change of the instances that the owner hears: the parts of those that it doesn't
-  /// hear are theirs, since the moment at which they were last heard.
-  void apply(const attachment_change& change);
-
   /// Accrues up to `now` with the lower of the old and the new rate, then sets the limit.
   void set_limit(const limit& l, base::time_point now);
   void accrue(base::time_point now);
@@ -97,8 +92,7 @@
   double accrual(base::duration d) const noexcept;
 
   limit limit_;
-  double attached_share_ = 1; ///< part of the rate that accrues here
-  double level_;              ///< negative after grants of what detached instances may use
+  double level_;
   std::uint64_t outstanding_ = 0;
   base::time_point last_;
   /// Time from which the burst has stopped accrual.
--- a/include/kingcupshunt/rates/client.h
+++ b/include/kingcupshunt/rates/client.h
@@ -54,10 +54,6 @@
   peer::send_function send; ///< must also deliver messages to this instance itself
   std::function<void(const observe::decision&)> on_decision;            ///< may be unset
   std::function<void(std::string_view name, std::uint64_t n)> on_count; ///< may be unset
-  /// The owner of a workspace grants tokens, `free` of which it still had; the answer is to a frame
-  /// of the time `sent`. May be unset.
-  std::function<void(std::string_view workspace, std::uint32_t free, base::time_point sent)>
-      on_answer = {};
 };
 
 /// Instance side of the rate limits: spends tokens for requests and requests more from the owners.
@@ -80,9 +76,6 @@
   /// Earliest time at which a tick has work, for timers finer than the usual 50 ms.
   std::optional<base::time_point> next_due() const;
 
-  /// Instance that owns the rate of `workspace`; empty when none is known.
-  std::string_view owner_of(std::string_view workspace) const { return owners_.pick(workspace); }
-
   std::size_t entry_count() const noexcept { return entries_.size(); }
 
 private:
--- a/include/kingcupshunt/rates/messages.h
+++ b/include/kingcupshunt/rates/messages.h
@@ -86,12 +86,10 @@
   std::uint32_t retry_ms = 0; ///< expected time until the next free token
   bool is_scarce = false;     ///< few tokens are left: report each spend immediately
   bool is_plentiful = false;  ///< many tokens are left: reports of spends alone are not needed
-  std::uint32_t free = 0;     ///< tokens left at the owner
 
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("w", workspace), MSGPACK_NVP("q", seq), MSGPACK_NVP("n", tokens),
                      MSGPACK_NVP("s", status), MSGPACK_NVP("r", retry_ms),
-                     MSGPACK_NVP("t", is_scarce), MSGPACK_NVP("m", is_plentiful),
-                     MSGPACK_NVP("f", free))
+                     MSGPACK_NVP("t", is_scarce), MSGPACK_NVP("m", is_plentiful))
 };
 
 /// Frame from an owner to an instance (message_kind::rate_grant).
--- a/include/kingcupshunt/rates/owner.h
+++ b/include/kingcupshunt/rates/owner.h
@@ -15,7 +15,6 @@
 #include "kingcupshunt/membership/fleet_view.h"
 #include "kingcupshunt/observe/decision.h"
 #include "kingcupshunt/peer/message.h"
-#include "kingcupshunt/rates/attachment.h"
 #include "kingcupshunt/rates/bucket.h"
 #include "kingcupshunt/rates/limit.h"
 #include "kingcupshunt/rates/messages.h"
@@ -28,10 +27,6 @@
   std::uint64_t incarnation = 1; ///< differs for each start of the process, not 0
   /// Number of past views kept, from which the owner determines how long it has owned a workspace.
   std::size_t view_history = 8;
-  /// Wait before the first grant under the first view. It may be shorter than `takeover_wait` for a
-  /// process that follows one of the same instance under the same view: nobody else owned its
-  /// workspaces, and its buckets start empty.
-  base::duration first_wait = takeover_wait();
 };
 
 struct owner_hooks {
@@ -61,13 +56,6 @@
                base::time_point now);
   void tick(base::time_point now);
 
-  /// An instance was heard that uses shares of the rates while it can't reach their owner. Without
-  /// any call, the whole rates are granted here.
-  void note_heard(std::string_view id, bool is_leaving, base::time_point now);
-
-  /// Whether this instance grants tokens, at least of the workspaces that it did not get lately.
-  bool is_granting(base::time_point now) const;
-
   /// Time at which a tick would serve a queued request; empty when none is queued.
   std::optional<base::time_point> next_due() const;
 
@@ -80,7 +68,6 @@
   struct past_view {
     owner_map map;
     base::time_point set_at;
-    base::duration wait{};                   ///< from `held_at` to the first grant
     std::optional<base::time_point> held_at; ///< when a majority was first known to hold this view
   };
 
@@ -90,7 +77,6 @@
   };
 
   void note_held_view(base::time_point now);
-  void apply(const std::vector<attachment_change>& changes);
   std::optional<base::time_point> ready_at(std::string_view workspace) const;
   void hand_over(const std::string& workspace, const bucket& b);
   void add_claims(base::time_point now);
@@ -112,10 +98,8 @@
 
   owner_settings settings_;
   owner_hooks hooks_;
-  base::duration first_wait_;   ///< of the next view
   std::deque<past_view> views_; ///< oldest first; the last one is current
   bucket_map buckets_;
-  attachment attachment_;
   struct received_handover {
     handover state;
     base::time_point at;
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -155,7 +155,6 @@
     answer.evacuations = evacuations_;
   }
   answer.entries = static_cast<std::uint32_t>(count_entries(now));
-  answer.is_granting = !hooks_.is_granting || hooks_.is_granting(now);
   if (query.needs_tunnels) {
     answer.tunnels = tunnels_for(from, now);
   }
--- a/src/fleet/entry_link.cpp
+++ b/src/fleet/entry_link.cpp
@@ -20,10 +20,6 @@
 constexpr base::seconds knowing_sender_retention{2};
 constexpr base::seconds gone_retention{60}; // of records; departures are kept for longer
 constexpr base::seconds cleanup_interval{10};
-/// The most entries known in one to two of these intervals count.
-constexpr base::seconds entry_count_interval{30};
-/// A control instance that started with this entry has heard from all others by then.
-constexpr base::seconds entry_count_delay{5};
 
 } // namespace
 
@@ -196,11 +192,6 @@
     lease_.set_applied(answer.applied);
   }
   entry_count_ = std::max<std::uint32_t>(answer.entries, 1);
-  note_entries(entry_count_, now);
-  if (answer.is_granting) {
-    const auto age = std::max(base::boot_clock::now() - sent, base::boot_clock::duration{});
-    c.granting_at = now - std::chrono::duration_cast<base::duration>(age);
-  }
   if (!answer.tunnels.empty()) {
     tunnels_ = answer.tunnels;
     tunnels_at_ = now;
@@ -214,29 +205,6 @@
   fetch(from, answer.document, now);
 }
 
-void entry_link::note_entries(std::uint32_t n, base::time_point now) {
-  if (first_answer_at_ == base::time_point{}) {
-    first_answer_at_ = now;
-  }
-  if (now - most_entries_at_ > entry_count_interval) {
-    former_most_entries_ = now - most_entries_at_ > 2 * entry_count_interval ? 0 : most_entries_;
-    most_entries_ = 0;
-    most_entries_at_ = now;
-  }
-  most_entries_ = std::max(most_entries_, n);
-}
-
-std::uint32_t entry_link::sharing_entries(base::time_point now) const {
-  const bool is_known =
-      first_answer_at_ != base::time_point{} && now - first_answer_at_ >= entry_count_delay;
-  return is_known ? std::max(most_entries_, former_most_entries_) : 0;
-}
-
-base::time_point entry_link::granting_at(std::string_view id) const {
-  const auto it = controls_.find(id);
-  return it == controls_.end() ? base::time_point{} : it->second.granting_at;
-}
-
 void entry_link::apply_evacuations(const evacuation_set& evacuations) {
   if (evacuations.number <= evacuations_.number) {
     return;
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -29,17 +29,6 @@
 /// since instances that receive heartbeats of a leader grant no vote.
 constexpr base::milliseconds first_election_timeout{150};
 constexpr base::seconds servers_write_interval{1};
-/// Wait of an owner of rates whose former process had the same voters: until an answer of the
-/// leader has shown whether these are still in force.
-constexpr base::milliseconds restart_wait{300};
-
-/// Whether a former process of this instance knew the voters. Only this instance owned its rates
-/// then, unless the log has other voters by now, which makes another view.
-bool was_voter(const consensus::recovered_state& state) {
-  return !state.base.voters.voters.empty() || std::ranges::any_of(state.entries, [](const auto& e) {
-    return e.kind == consensus::entry_kind::voters;
-  });
-}
 
 } // namespace
 
@@ -58,7 +47,6 @@
   void on_document(const fleet::versioned_document& document);
   void on_content(const nlohmann::json& content);
   void store_servers(base::time_point now);
-  void note_entry_heard(std::string_view id, base::time_point now);
   void on_tick(base::time_point now);
   void update_voters(base::time_point now);
   void stop();
@@ -139,7 +127,6 @@
     runtime.metrics.count("control_events_total", event);
     observe::log_info(event, {{"detail", detail}});
   };
-  core_hooks.is_granting = [this](base::time_point now) { return rate_owner->is_granting(now); };
   core_hooks.store_records = [this](std::function<void(bool)> done) {
     servers->store(std::move(done));
   };
@@ -152,9 +139,6 @@
   rates::owner_settings owner_settings;
   owner_settings.self = s.id;
   owner_settings.incarnation = runtime.seed;
-  if (was_voter(found.recovered)) {
-    owner_settings.first_wait = restart_wait;
-  }
   rates::owner_hooks owner_hooks;
   owner_hooks.send = [this](std::string_view to, message_kind kind, std::string body) {
     runtime.send(to, kind, std::move(body));
@@ -163,10 +147,6 @@
     const auto w = configuration.find_workspace(name);
     return w ? std::optional(rates::limit{w->rate, w->burst}) : std::nullopt;
   };
-  owner_hooks.on_decision = [](const observe::decision& d) {
-    observe::log_info("rate_owner",
-                      {{"rule", d.rule}, {"outcome", d.outcome}, {"evidence", d.evidence}});
-  };
   owner_hooks.is_fresh = [this] { return core->has_majority_contact(base::clock::now()); };
   rate_owner = std::make_unique<rates::owner>(std::move(owner_settings), std::move(owner_hooks));
   open_log(std::move(found));
@@ -259,13 +239,6 @@
   servers->store([](bool) {}); // a failure is logged
 }
 
-void control_node::impl::note_entry_heard(std::string_view id, base::time_point now) {
-  const auto it = core->entries().find(id);
-  if (it != core->entries().end()) {
-    rate_owner->note_heard(id, it->second.is_leaving, now);
-  }
-}
-
 void control_node::impl::on_message(std::string_view from, message_kind kind,
                                     const std::string& body) {
   const auto now = base::clock::now();
@@ -280,13 +253,8 @@
     documents->receive(from, kind, body, now);
     break;
   case message_kind::rate_ask:
-    note_entry_heard(from, now);
     rate_owner->receive(from, kind, body, now);
     break;
-  case message_kind::entry_ask:
-    core->receive(from, kind, body, now);
-    note_entry_heard(from, now);
-    break;
   default:
     core->receive(from, kind, body, now);
   }
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -49,6 +49,14 @@
   return out;
 }
 
+rates::client_hooks rate_hooks_of(role_runtime& runtime) {
+  rates::client_hooks out;
+  out.send = [&runtime](std::string_view to, message_kind kind, std::string body) {
+    runtime.send(to, kind, std::move(body));
+  };
+  return out;
+}
+
 admission::window_budget_settings retry_settings_of(const settings::role_bounds& b) {
   admission::window_budget_settings out;
   out.share = b.retry_share;
@@ -62,8 +70,8 @@
 entry_traffic::entry_traffic(role_runtime& runtime, fleet::entry_link& link,
                              std::function<void()> on_path_change)
     : runtime_(runtime), link_(link), board_(board_settings_of(runtime), make_board_hooks()),
-      rates_(rate_settings_of(runtime), make_rate_hooks()),
-      retries_(retry_settings_of(runtime.settings.bounds)), local_share_({.seed = runtime.seed}),
+      rates_(rate_settings_of(runtime), rate_hooks_of(runtime)),
+      retries_(retry_settings_of(runtime.settings.bounds)),
       on_path_change_(std::move(on_path_change)), rng_(runtime.seed + 1) {}
 
 proxy::hooks entry_traffic::make_hooks() {
@@ -202,6 +210,47 @@
   return out;
 }
 
+void entry_traffic::admit(const proxy::authorized_request& request,
+                          std::function<void(proxy::decided<void>)> done) {
+  const auto now = base::clock::now();
+  if (auto refused = refusal_of_path()) {
+    done(std::move(*refused));
+    return;
+  }
+  retries_.deposit(request.service->name, now);
+  if (!request.workspace || request.workspace->is_unlimited) {
+    enter_gate(request, std::move(done));
+    return;
+  }
+  rates_.acquire(
+      request.workspace->name, now, request.deadline,
+      [this, request, done = std::move(done)](rates::acquired result) {
+        const auto decided_at = base::clock::now();
+        const auto& workspace = *request.workspace;
+        const rates::limit fleet_limit{workspace.rate, workspace.burst};
+        if (result) {
+          local_share_.note_granted(workspace.name, fleet_limit, link_.entry_count(), decided_at);
+          enter_gate(request, done);
+          return;
+        }
+        const auto& r = result.error();
+        if (r.reason == rates::refusal_reason::over_rate) {
+          board_.note_refused(request.service->name, decided_at);
+          done(not_run(429, "over_rate", "the workspace has used its rate and burst",
+                       r.retry_after));
+        } else if (local_share_.take(workspace.name, fleet_limit, link_.entry_count(),
+                                     decided_at)) {
+          runtime_.metrics.count("rate_local_total", rates::to_string(r.reason));
+          enter_gate(request, done);
+        } else {
+          board_.note_refused(request.service->name, decided_at);
+          done(not_run(
+              429, rates::to_string(r.reason),
+              "the owner of the workspace's rate is unreachable and the local share is used up"));
+        }
+      });
+}
+
 proxy::decided<proxy::upstream_target> entry_traffic::pick(const proxy::authorized_request& request,
                                                            std::uint64_t fingerprint,
                                                            const std::vector<std::string>& tried) {
--- a/src/node/entry_traffic.h
+++ b/src/node/entry_traffic.h
@@ -102,8 +102,6 @@
   static proxy::refusal refusal_of_evacuation();
   void log_leaving(const balance::leaving_notice& notice); // entry_leaving.cpp
   void note_cold(const balance::cold_change& change);      // entry_cold.cpp
-  rates::client_hooks make_rate_hooks();                   // entry_rates.cpp
-  rates::share_basis share_basis_of(std::string_view workspace, base::time_point now) const;
   void add_cold_permits(const fleet::permit_grant& grant, base::time_point now);
   static base::duration suspended_time() noexcept;
 
--- a/src/rates/bucket.cpp
+++ b/src/rates/bucket.cpp
@@ -39,7 +39,7 @@
 
 double bucket::accrual(base::duration d) const noexcept {
   // Uses the shortest true time, because the owner's clock may be fast by the drift bound.
-  return limit_.rate * attached_share_ * base::to_seconds(base::shorten_by_drift(d));
+  return limit_.rate * base::to_seconds(base::shorten_by_drift(d));
 }
 
 void bucket::accrue(base::time_point now) {
@@ -78,24 +78,6 @@
   check_unblocked();
 }
 
-void bucket::apply(const attachment_change& change) {
-  accrue(change.at);
-  const double lost = limit_.rate * change.lost_s;
-  if (lost > 0) {
-    // What others have been granted of it meanwhile is taken off their next accrual.
-    const double least = change.is_pause ? 0 : -lost * change.share;
-    level_ = std::max(level_ - lost, std::min(level_, least));
-  }
-  if (level_ > 0) {
-    level_ *= 1 - change.left;
-  }
-  attached_share_ = change.share;
-  if (blocked_since_) {
-    blocked_since_ = change.at;
-  }
-  check_unblocked();
-}
-
 void bucket::check_unblocked() {
   if (level_ + static_cast<double>(outstanding_) < limit_.burst) {
     blocked_since_.reset();
@@ -173,7 +155,7 @@
     return;
   }
   outstanding_ -= n;
-  if (!blocked_since_ || limit_.rate * attached_share_ <= 0) {
+  if (!blocked_since_ || limit_.rate <= 0) {
     blocked_since_.reset();
     return;
   }
@@ -184,7 +166,8 @@
   if (credit < n) {
     blocked_since_.reset();
   } else {
-    blocked_since_ = std::min(now, from + base::from_seconds(n / accrual(base::seconds(1))));
+    blocked_since_ = std::min(
+        now, from + base::from_seconds(n / (limit_.rate * (1.0 - base::clock_drift_bound))));
   }
 }
 
--- a/src/rates/client_exchange.cpp
+++ b/src/rates/client_exchange.cpp
@@ -55,10 +55,6 @@
   e.is_scarce = item.is_scarce;
   e.is_plentiful = item.is_plentiful;
   e.next_token = now + base::milliseconds(item.retry_ms);
-  const bool is_granting = status == grant_status::granted || status == grant_status::queued;
-  if (is_granting && hooks_.on_answer) {
-    hooks_.on_answer(workspace, item.free, e.pending->sent);
-  }
   if (status == grant_status::queued) {
     e.pending->is_queued = true;
     e.pending->resend = e.pending->sent + queued_resend;
--- a/src/rates/handover.cpp
+++ b/src/rates/handover.cpp
@@ -37,7 +37,7 @@
   const auto& map = views_.back().map;
   std::uint64_t since = 0;
   for (const auto& v : views_) {
-    if (v.held_at && *v.held_at + v.wait <= now) {
+    if (v.held_at && *v.held_at + takeover_wait() <= now) {
       since = v.map.version();
     }
   }
--- a/src/rates/message_bounds.cpp
+++ b/src/rates/message_bounds.cpp
@@ -24,7 +24,6 @@
 void grant::apply_bounds() {
   for (auto& item : items) {
     item.tokens = std::min(item.tokens, max_tokens);
-    item.free = std::min(item.free, max_tokens);
     item.retry_ms = std::min(item.retry_ms, max_retry_ms);
   }
 }
--- a/src/rates/owner.cpp
+++ b/src/rates/owner.cpp
@@ -42,10 +42,6 @@
   return l.burst >= 2 * per_lifetime && b.level() >= l.burst / 2;
 }
 
-std::uint32_t free_tokens(const bucket& b) {
-  return static_cast<std::uint32_t>(std::clamp<double>(b.level(), 0, max_tokens));
-}
-
 // Seconds until `tokens` are free.
 double seconds_until(const bucket& b, double tokens) {
   if (b.limits().rate <= 0) {
@@ -99,7 +95,7 @@
 } // namespace
 
 owner::owner(owner_settings settings, owner_hooks hooks)
-    : settings_(std::move(settings)), hooks_(std::move(hooks)), first_wait_(settings_.first_wait) {}
+    : settings_(std::move(settings)), hooks_(std::move(hooks)) {}
 
 void owner::set_view(const membership::fleet_view& view, base::time_point now) {
   if (!views_.empty() && view.version <= views_.back().map.version()) {
@@ -126,7 +122,6 @@
   }
   next.map.set_view(view);
   next.set_at = now;
-  next.wait = std::exchange(first_wait_, takeover_wait());
   views_.push_back(std::move(next));
   if (views_.size() > std::max<std::size_t>(settings_.view_history, 1)) {
     views_.pop_front();
@@ -160,16 +155,19 @@
   // Searches for the view that assigned the workspace to this instance. The former owner is not
   // fresh any more once the freshness bound has passed after a majority held that view or a later
   // one.
-  std::optional<base::time_point> ready;
+  std::optional<base::time_point> held;
   for (auto it = views_.rbegin(); it != views_.rend(); ++it) {
     if (it->map.pick(workspace) != settings_.self) {
       break;
     }
     if (it->held_at) {
-      ready = *it->held_at + it->wait;
+      held = it->held_at;
     }
   }
-  return ready;
+  if (!held) {
+    return std::nullopt;
+  }
+  return *held + takeover_wait();
 }
 
 const bucket* owner::find_bucket(std::string_view workspace) const {
@@ -182,39 +180,10 @@
   // A workspace without a bucket has not been used since `ready`, or its bucket was full when it
   // was removed. The accrual since `ready` is a lower bound of the level in both cases.
   bucket fresh(l, 0.0, ready);
-  for (const auto& change : attachment_.recent()) {
-    if (change.at > ready) {
-      fresh.apply(change);
-    }
-  }
   fresh.accrue(now);
   return &buckets_.emplace(std::string(workspace), std::move(fresh)).first->second;
 }
 
-void owner::apply(const std::vector<attachment_change>& changes) {
-  for (const auto& change : changes) {
-    for (auto& [workspace, b] : buckets_) {
-      b.apply(change);
-    }
-    if (change.left > 0 && hooks_.on_decision) {
-      hooks_.on_decision({"rates.attachment", "instance", settings_.self, "detached",
-                          "attached_share=" + std::to_string(change.share), 0});
-    }
-  }
-}
-
-void owner::note_heard(std::string_view id, bool is_leaving, base::time_point now) {
-  apply(attachment_.note_heard(id, is_leaving, now));
-}
-
-bool owner::is_granting(base::time_point now) const {
-  if (hooks_.is_fresh && !hooks_.is_fresh()) {
-    return false;
-  }
-  return std::ranges::any_of(
-      views_, [&](const auto& v) { return v.held_at && *v.held_at + v.wait <= now; });
-}
-
 void owner::receive(std::string_view from, peer::message_kind kind, std::string_view body,
                     base::time_point now) {
   if (kind != peer::message_kind::rate_ask) {
@@ -226,7 +195,6 @@
     return;
   }
   note_held_view(now);
-  apply(attachment_.check(now));
   if (frame->items.empty()) {
     if (const auto handovers = peer::unpack<handover_frame>(body)) {
       note_handovers(from, *handovers, now);
@@ -331,7 +299,7 @@
     const auto retry = tokens < queued.urgent ? to_retry_ms(seconds_until(b, ahead)) : 0;
     answer(it->first.first, it->first.second,
            {workspace, queued.seq, tokens, static_cast<std::uint8_t>(status), retry, is_scarce(b),
-            is_plentiful(b), free_tokens(b)});
+            is_plentiful(b)});
   }
   b.last_served = now;
   if (is_short) {
@@ -352,7 +320,6 @@
 
 void owner::tick(base::time_point now) {
   note_held_view(now);
-  apply(attachment_.check(now));
   const bool is_acting = !hooks_.is_fresh || hooks_.is_fresh();
   for (auto it = buckets_.begin(); it != buckets_.end();) {
     auto& b = it->second;
