--- a/include/kingcupshunt/fleet/messages.h
+++ b/include/kingcupshunt/fleet/messages.h
@@ -175,7 +175,7 @@
 
 /// Bounds of the numbers in load messages. Their sum over all instances fits 32 bits.
 inline constexpr std::uint32_t max_in_flight = 100'000; ///< requests at one server
-inline constexpr std::uint32_t max_demand = 100'000;   ///< requests of one service and rank
+inline constexpr std::uint32_t max_demand = 100'000;    ///< requests of one service and rank
 
 struct server_load {
   std::string server;
