Read-through: a departure says nothing about another incarnation

What callers would have seen: a server starts again with an earlier start, as its clock went back, and is in use after 60 s. Another control instance starts again and lists the former incarnation among those that left; every instance took that for the leave of a later incarnation and gave the running server up.

Cause: departures that were stored or listed went through the merge of fresh announcements. They are marked (is_restored) now, end only their own incarnation, and do not renew the refusal of earlier starts. The table is stored again when departures expire, so that the file does not bring back old ones.

Evidence: "the departure of one incarnation does not end another that is in use" fails on, passes now.

Also from reading: changed_since(position, now) uses changes_since in place of a second loop; an expression with two side effects became an if.

--- a/include/kingcupshunt/fleet/departure_list.h
+++ b/include/kingcupshunt/fleet/departure_list.h
@@ -40,7 +40,8 @@
   /// Whether this incarnation, or within the shorter retention a later one, has left.
   bool has_left(std::string_view id, std::uint64_t started_ms, base::time_point now) const;
 
-  void remove_expired(base::time_point now);
+  /// Returns whether any was removed.
+  bool remove_expired(base::time_point now);
 
   /// Departures that were removed before their time, to keep to the count.
   std::uint64_t dropped() const noexcept { return dropped_; }
--- a/include/kingcupshunt/fleet/server_record.h
+++ b/include/kingcupshunt/fleet/server_record.h
@@ -44,7 +44,7 @@
   std::uint32_t cold_left_ms = 0; ///< remaining warm-up time, in which it is slow
   std::string home;               ///< control instance that it announces itself to
   bool is_silent = false;         ///< its home has missed several announcements
-  bool is_restored = false;       ///< persisted before a restart of its home, not announced since
+  bool is_restored = false;       ///< persisted before a restart, or listed among those that left
 
   bool operator==(const server_record&) const = default;
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("i", id), MSGPACK_NVP("s", service), MSGPACK_NVP("a", address),
--- a/src/fleet/control_announcements.cpp
+++ b/src/fleet/control_announcements.cpp
@@ -22,14 +22,14 @@
 void control_core::restore(std::vector<server_record> records, base::time_point now) {
   std::erase_if(records, [&](const server_record& r) { return !is_sound(r); });
   // Departures first: a server may have left after its own record was stored.
-  for (const auto& r : records) {
+  for (auto& r : records) {
+    r.is_restored = true;
     if (r.state != server_state::ready) {
       table_.note_departed(r, now);
     }
   }
   for (auto& r : records) {
     if (r.state == server_state::ready) {
-      r.is_restored = true;
       (void)table_.merge(std::move(r), now);
     }
   }
@@ -290,7 +290,6 @@
   for (const auto& r : part.records) {
     if (r.state != server_state::ready && is_sound(r)) {
       (void)table_.merge(r, now);
-      table_.note_departed(r, now); // also where a later incarnation is in use
     }
   }
   push_changes(now);
--- a/src/fleet/departure_list.cpp
+++ b/src/fleet/departure_list.cpp
@@ -14,6 +14,7 @@
   out.id = record.id;
   out.started_ms = record.started_ms;
   out.state = server_state::gone;
+  out.is_restored = record.is_restored;
   return out;
 }
 
@@ -45,14 +46,17 @@
     return true;
   }
   for (; it != by_incarnation_.end() && it->first.first == id; ++it) {
-    if (now - by_position_.at(it->second).left_at <= retention_.former) {
+    const auto& d = by_position_.at(it->second);
+    // When one left that was stored before a restart is not known.
+    if (!d.record.is_restored && now - d.left_at <= retention_.former) {
       return true;
     }
   }
   return false;
 }
 
-void departure_list::remove_expired(base::time_point now) {
+bool departure_list::remove_expired(base::time_point now) {
+  const auto before = by_incarnation_.size();
   for (auto it = by_position_.begin(); it != by_position_.end();) {
     const auto& d = it->second;
     const auto limit = d.record.started_ms == 0 ? retention_.former : retention_.exact;
@@ -61,6 +65,7 @@
       remove(current);
     }
   }
+  return by_incarnation_.size() != before;
 }
 
 void departure_list::remove(std::map<std::uint64_t, departure>::iterator it) {
--- a/src/fleet/server_table.cpp
+++ b/src/fleet/server_table.cpp
@@ -1,6 +1,7 @@
 #include "kingcupshunt/fleet/server_table.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace kingcupshunt::fleet {
@@ -27,6 +28,12 @@
          a.home == b.home && a.is_silent == b.is_silent && a.is_restored == b.is_restored;
 }
 
+server_record listed(const departure_list::departure& d) {
+  auto out = d.record;
+  out.is_restored = true;
+  return out;
+}
+
 } // namespace
 
 const server_record* server_table::find(std::string_view id) const {
@@ -98,6 +105,11 @@
     if (has_left(record.id, record.started_ms, now)) {
       return merge_result::stale;
     }
+  } else if (record.is_restored && it != entries_.end() &&
+             it->second.record.started_ms != record.started_ms) {
+    // That an incarnation left some time ago says nothing about another one.
+    note_departed(record, now);
+    return merge_result::stale;
   } else {
     const auto* held = it == entries_.end() ? nullptr : &it->second.record;
     const bool is_of_former = held != nullptr && held->state == server_state::ready &&
@@ -128,14 +140,16 @@
   auto& held = e.record;
   const bool is_former = record.started_ms < held.started_ms;
   const bool is_same = record.started_ms == held.started_ms;
-  if (is_former || (is_same && (held.state == server_state::gone || record.is_restored))) {
+  const bool is_restored_copy = record.is_restored && record.state <= held.state;
+  if (is_former || (is_same && (held.state == server_state::gone || is_restored_copy))) {
     return merge_result::stale;
   }
   if (is_same) {
     // A leave notice carries no sequence, and that of a draining server may arrive after a later
     // announcement. The state never goes back within an incarnation.
     const bool is_leave_notice = record.state == server_state::gone;
-    const bool is_late_leave = record.state > held.state && record.sequence < held.sequence;
+    const bool is_late_leave =
+        record.state > held.state && (record.sequence < held.sequence || record.is_restored);
     if (is_leave_notice || is_late_leave) {
       held.state = record.state;
       touch(e, now);
@@ -195,7 +209,8 @@
 }
 
 void server_table::remove_gone(base::duration gone_retention, base::time_point now) {
-  departures_.remove_expired(now);
+  // So that the table is stored without them.
+  position_ += departures_.remove_expired(now) ? 1 : 0;
   std::erase_if(entries_, [&](const auto& item) {
     const auto& e = item.second;
     const bool is_due = e.record.state == server_state::gone && now - e.changed_at > gone_retention;
@@ -219,11 +234,7 @@
 
 std::vector<server_record> server_table::changed_since(std::uint64_t position,
                                                        base::time_point now) const {
-  auto out = changed_since(position);
-  for (auto& record : out) {
-    record.cold_left_ms = cold_left_ms(entries_.find(record.id)->second, now);
-  }
-  return out;
+  return changes_since(position, std::numeric_limits<std::size_t>::max(), now).records;
 }
 
 std::vector<server_record> server_table::changed_since(std::uint64_t position) const {
@@ -269,7 +280,7 @@
       ++departure_at;
       continue;
     }
-    auto record = is_departure ? departure_at->second.record : (*entry_at)->record;
+    auto record = is_departure ? listed(departure_at->second) : (*entry_at)->record;
     if (!is_departure) {
       record.cold_left_ms = cold_left_ms(**entry_at, now);
     }
@@ -278,9 +289,14 @@
       out.has_more = true;
       return out;
     }
-    out.to = is_departure ? departure_at->first : (*entry_at)->position;
     out.records.push_back(std::move(record));
-    is_departure ? void(++departure_at) : void(++entry_at);
+    if (is_departure) {
+      out.to = departure_at->first;
+      ++departure_at;
+    } else {
+      out.to = (*entry_at)->position;
+      ++entry_at;
+    }
   }
   out.to = position_;
   return out;
@@ -298,7 +314,7 @@
       return out;
     }
     out.to = it->first;
-    out.records.push_back(it->second.record);
+    out.records.push_back(listed(it->second));
   }
   out.to = position_;
   return out;
--- a/tests/fleet/departures_test.cpp
+++ b/tests/fleet/departures_test.cpp
@@ -115,6 +115,25 @@
   CHECK(f.seen.at("s").state == server_state::ready);
 }
 
+// Guards against a running server that is given up, at all instances, when one of them starts again
+// and lists an incarnation that left long ago. The server's clock has gone back meanwhile.
+TEST_CASE("the departure of one incarnation does not end another that is in use") {
+  left_fleet f;
+  f.run(base::seconds(90));
+  auto next = server("s", 1, server_state::ready);
+  next.started_ms = 4;
+  f.announce("c1", next);
+  f.run(base::milliseconds(200));
+  REQUIRE(f.is_used());
+  f.restart("c2");
+  f.run(base::seconds(3));
+  CHECK(f.is_used());
+  next.sequence = 2;
+  f.announce("c2", next);
+  f.run(base::milliseconds(200));
+  CHECK(f.is_used());
+}
+
 // Guards against a table that is dropped as too large for one message.
 TEST_CASE("a table larger than a message reaches an entry, and no lease begins before it has") {
   small_fleet f;
