Parse large configurations beside the event loop

Until an applied document is in force at a control instance, that instance answers with the log index before it, so that its answers prove no freshness for the former one. That holds for a document that it can't parse as well, which before left the lease of entries with the former one valid.

Test: "a lease is not renewed by instances that have yet to put a document in force" (fleet).

--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -39,8 +39,11 @@
 
 struct control_hooks {
   peer::send_function send;
-  /// Parses the text of a document.
+  /// Parses the text of a document. Called in `run_aside` too.
   std::function<document_result<config::record_list>(const std::string& text)> parse;
+  /// Runs `work` beside the event loop, then `done` on it. May be empty: then long texts are parsed
+  /// at once.
+  std::function<void(std::function<void()> work, std::function<void()> done)> run_aside;
   /// Called when a document takes effect on this instance. May be empty.
   std::function<void(const config::record_list& content)> on_content;
   std::function<bool(std::string_view peer)> is_connected;
@@ -76,7 +79,8 @@
   void set_log(document_log* log) { log_ = log; }
 
   /// The log has a newer document. Parsing is deferred to the next tick or query, so that a restart
-  /// parses only the newest document.
+  /// parses only the newest document. Until it is in force here, this instance answers with the log
+  /// index before it.
   void on_document(const versioned_document& document);
 
   /// The log has newer evacuations. The entries are notified with the next tick or query.
@@ -154,6 +158,8 @@
 
   void on_query(std::string_view from, const entry_ask& query, base::time_point now);
   void apply_pending_document();
+  void put_in_force(std::uint64_t version, document_result<config::record_list> content);
+  std::uint64_t settled_index() const;
   void announce_evacuations(); // control_evacuations.cpp
   void on_fetch(std::string_view from, const document_fetch& fetch, base::time_point now);
   void send_piece(std::string_view to, const document_fetch& fetch, base::time_point now);
@@ -203,6 +209,9 @@
   std::set<std::string, std::less<>> controls_;
   document_history documents_;
   std::optional<versioned_document> pending_document_;
+  bool is_parsing_ = false;
+  /// Log index before the oldest applied document that is not in force here yet.
+  std::optional<std::uint64_t> settled_index_;
   evacuation_set evacuations_;
   evacuation_set announced_evacuations_; ///< as last logged and sent to the entries
   std::map<std::uint64_t, pending_share> shares_;
--- a/include/kingcupshunt/fleet/packed_document.h
+++ b/include/kingcupshunt/fleet/packed_document.h
@@ -15,6 +15,9 @@
 /// can hold and pass on what stays within it.
 inline constexpr std::size_t max_document_bytes = 4U << 20U;
 
+/// Longer texts are parsed beside the event loop.
+inline constexpr std::size_t max_inline_text_bytes = 64U << 10U;
+
 /// Greatest part of a packed document in one message: a tenth of a second on a link of 5 Mbit/s, so
 /// that other messages do not wait for long.
 inline constexpr std::size_t document_piece_bytes = 64U << 10U;
--- a/include/kingcupshunt/node/control_node.h
+++ b/include/kingcupshunt/node/control_node.h
@@ -13,7 +13,7 @@
 namespace kingcupshunt::node {
 
 struct control_node_hooks {
-  /// Parses the text of a configuration into its entities.
+  /// Parses the text of a configuration into its entities. Called on any thread.
   std::function<fleet::document_result<config::record_list>(const std::string& text)> parse;
   /// Rereads the settings; empty when they can't be read.
   std::function<std::optional<settings::role_settings>()> reload;
@@ -39,6 +39,9 @@
   /// Increments the counter `name` with the label `kind` on the metrics page.
   void count(std::string_view name, std::string_view kind);
 
+  /// Runs `work` beside the event loop, one call after another, then `done` on the event loop.
+  void run_aside(std::function<void()> work, std::function<void()> done);
+
   /// Serves until SIGTERM or SIGINT.
   void run();
 
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -37,29 +37,58 @@
 
 void control_core::on_document(const versioned_document& document) {
   // A reopened log applies its entries again.
-  if (document.version > documents_.version()) {
-    pending_document_ = document;
+  if (document.version <= documents_.version()) {
+    return;
+  }
+  pending_document_ = document;
+  if (!settled_index_) {
+    const auto applied = log_ == nullptr ? 0 : log_->log().applied_index();
+    settled_index_ = applied - std::min<std::uint64_t>(applied, 1);
   }
 }
 
+std::uint64_t control_core::settled_index() const {
+  return settled_index_.value_or(log_->log().applied_index());
+}
+
 void control_core::apply_pending_document() {
   announce_evacuations();
-  if (!pending_document_) {
+  if (!pending_document_ || is_parsing_) {
     return;
   }
-  const auto document = *std::exchange(pending_document_, std::nullopt);
-  auto parsed = hooks_.parse(document.text);
-  if (!parsed) {
-    // Documents are validated before they are proposed, so this indicates a bug.
-    log("document_unreadable", parsed.error().message);
+  auto document = *std::exchange(pending_document_, std::nullopt);
+  const auto version = document.version;
+  if (!hooks_.run_aside || document.text.size() <= max_inline_text_bytes) {
+    put_in_force(version, hooks_.parse(document.text));
     return;
   }
-  documents_.add(document.version, std::move(parsed.value()));
-  log("document_in_force", "version=" + std::to_string(document.version));
+  is_parsing_ = true;
+  const auto result = std::make_shared<std::optional<document_result<config::record_list>>>();
+  hooks_.run_aside(
+      [parse = hooks_.parse, text = std::move(document.text), result] { *result = parse(text); },
+      [this, version, result] {
+        is_parsing_ = false;
+        put_in_force(version, std::move(**result));
+        apply_pending_document();
+      });
+}
+
+void control_core::put_in_force(std::uint64_t version,
+                                document_result<config::record_list> content) {
+  if (!content) {
+    // Documents are validated before they are proposed: a bug, or a document of a later build.
+    log("document_unreadable", content.error().message);
+    return;
+  }
+  documents_.add(version, std::move(content.value()));
+  if (!pending_document_) {
+    settled_index_.reset();
+  }
+  log("document_in_force", "version=" + std::to_string(version));
   if (hooks_.on_content) {
     hooks_.on_content(documents_.records());
   }
-  const auto notice = peer::pack(commit_notice{document.version, evacuations_});
+  const auto notice = peer::pack(commit_notice{version, evacuations_});
   for (const auto& [id, e] : entries_) {
     hooks_.send(id, message_kind::commit_notice, notice);
   }
@@ -134,7 +163,7 @@
   answer.sequence = query.sequence;
   answer.is_voter = replica.is_voter() && replica.is_storage_well();
   answer.held = replica.last_index();
-  answer.applied = replica.applied_index();
+  answer.applied = settled_index();
   answer.document = documents_.version();
   answer.data_centre = settings_.data_centre;
   answer.voters_index = replica.voters_index();
@@ -198,7 +227,7 @@
   }
   if (document) {
     const bool is_newest = document->version == documents_.version();
-    out.applied = is_newest ? log_->log().applied_index() : 0;
+    out.applied = is_newest ? settled_index() : 0;
     out.evacuations = evacuations_.number;
     out.version = document->version;
     out.base = document->base;
@@ -228,7 +257,7 @@
     return;
   }
   document_content out;
-  out.applied = log_->log().applied_index();
+  out.applied = settled_index();
   out.version = documents_.version();
   out.knows_evacuations = true;
   out.evacuations = evacuations_.number;
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/thread_pool.hpp>
 #include <nlohmann/json.hpp>
 
 #include "kingcupshunt/config/snapshot.h"
@@ -45,6 +47,7 @@
   log_disk_hooks disk_hooks();
   fleet::document_log_hooks log_hooks();
   void on_message(std::string_view from, message_kind kind, const std::string& body);
+  void run_aside(std::function<void()> work, std::function<void()> done);
   void on_document(const fleet::versioned_document& document);
   void on_content(const config::record_list& content);
   void store_servers(base::time_point now);
@@ -68,7 +71,8 @@
   std::shared_ptr<storage::file_system> files = storage::make_system_files();
   std::uint64_t stored_position = 0; ///< of the server table
   base::time_point next_store{};
-  std::unique_ptr<server_file> servers; ///< last member: its thread is joined first
+  std::unique_ptr<server_file> servers; ///< its thread is joined before the members above end
+  std::unique_ptr<boost::asio::thread_pool> aside; ///< of one thread; the same
 };
 
 role_hooks control_node::impl::make_role_hooks() {
@@ -120,6 +124,9 @@
     runtime.send(to, kind, std::move(body));
   };
   core_hooks.parse = hooks.parse;
+  core_hooks.run_aside = [this](std::function<void()> work, std::function<void()> done) {
+    run_aside(std::move(work), std::move(done));
+  };
   core_hooks.on_content = [this](const config::record_list& content) { on_content(content); };
   core_hooks.is_connected = [this](std::string_view id) {
     return runtime.transport->is_connected(id);
@@ -215,6 +222,17 @@
   return out;
 }
 
+/// Most instances never get a document that is long enough to need the thread.
+void control_node::impl::run_aside(std::function<void()> work, std::function<void()> done) {
+  if (!aside) {
+    aside = std::make_unique<boost::asio::thread_pool>(1);
+  }
+  boost::asio::post(*aside, [this, work = std::move(work), done = std::move(done)]() mutable {
+    work();
+    boost::asio::post(runtime.io, std::move(done));
+  });
+}
+
 void control_node::impl::on_document(const fleet::versioned_document& document) {
   core->on_document(document);
 }
@@ -342,6 +360,10 @@
   return impl_->runtime.settings;
 }
 
+void control_node::run_aside(std::function<void()> work, std::function<void()> done) {
+  impl_->run_aside(std::move(work), std::move(done));
+}
+
 void control_node::count(std::string_view name, std::string_view kind) {
   impl_->runtime.metrics.count(name, kind);
 }
--- a/tests/fleet/large_documents_test.cpp
+++ b/tests/fleet/large_documents_test.cpp
@@ -249,6 +249,33 @@
   CHECK(f.dropped_as_too_large == 0);
 }
 
+// Guards against an entry that takes the log index of a control instance for proof that its
+// document is the newest, while that instance still parses a newer one.
+TEST_CASE("a lease is not renewed by instances that have yet to put a document in force") {
+  small_fleet f;
+  f.run(base::seconds(4));
+  f.leader().propose(
+      document(1, "fitting"), [](bool) {}, f.now);
+  f.run(base::seconds(1));
+  REQUIRE(f.entry->version() == 1);
+  const auto applied = f.entry->lease().applied();
+  f.holds_aside = true;
+  auto large = document(2, "orders");
+  large.text += std::string(max_inline_text_bytes, ' ');
+  std::optional<bool> accepted;
+  f.leader().propose(
+      large, [&](bool ok) { accepted = ok; }, f.now);
+  f.run(base::seconds(1));
+  CHECK(accepted == true);
+  CHECK(f.entry->version() == 1);
+  CHECK(f.entry->lease().applied() == applied);
+  f.holds_aside = false;
+  f.run(base::seconds(1));
+  CHECK(f.entry->version() == 2);
+  CHECK(f.entry->lease().applied() > applied);
+  CHECK(f.entry->is_fresh());
+}
+
 // Guards against the beginning of a document that a leader left unfinished.
 TEST_CASE("a document of which only some entries survive is not in force and can be sent again") {
   small_fleet f;
--- a/tests/fleet/small_fleet.h
+++ b/tests/fleet/small_fleet.h
@@ -89,6 +89,12 @@
     hooks.log = [this](std::string_view event, std::string_view detail) {
       events.push_back(std::string(event) + " " + std::string(detail));
     };
+    hooks.run_aside = [this](const std::function<void()>& work, const std::function<void()>& done) {
+      aside.push_back([work, done] {
+        work();
+        done();
+      });
+    };
     hooks.store_records = [&c](std::function<void(bool)> done) {
       c.storing.push_back(std::move(done));
     };
@@ -164,6 +170,11 @@
       for (auto& m : std::exchange(net, {})) {
         deliver(m);
       }
+      if (!holds_aside) {
+        for (const auto& work : std::exchange(aside, {})) {
+          work();
+        }
+      }
       for (auto& [id, c] : controls) {
         while (!c.writes.empty()) {
           const auto sequence = c.writes.front().sequence;
@@ -222,7 +233,9 @@
   std::function<config::record_list(const std::string& text)> parse = [](const std::string& text) {
     return config::to_records(nlohmann::json::parse(text));
   };
-  std::vector<std::string> events; ///< logged by the control instances and the entry
+  std::vector<std::function<void()>> aside; ///< work beside the event loops, done with each step
+  bool holds_aside = false;                 ///< it is not done
+  std::vector<std::string> events;          ///< logged by the control instances and the entry
   std::size_t dropped_as_too_large = 0;
   std::set<std::string, std::less<>> cut;
   std::set<std::string, std::less<>> stalled; ///< control instances whose disk writes nothing
