--- a/include/kingcupshunt/consensus/replica.h
+++ b/include/kingcupshunt/consensus/replica.h
@@ -53,6 +53,7 @@
   std::size_t kept_entries = 1000;            ///< kept before a snapshot for slow voters
   std::size_t kept_bytes = 8U << 20U;         ///< payload of these entries; the newer ones stay
   std::size_t snapshot_chunk_bytes = 512U << 10U;
+  std::size_t max_snapshot_bytes = 1U << 30U; ///< a snapshot of more is not received
   std::uint64_t seed = 1;
   /// Greatest format of commands that this instance applies; told to the leader.
   std::uint32_t format = 0;
--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -26,6 +26,12 @@
   return -1;
 }
 
+/// Fetched once: fetching it implicitly takes longer than hashing a key.
+const EVP_MD* sha256_method() {
+  static const EVP_MD* const out = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+  return out;
+}
+
 } // namespace
 
 std::uint64_t hash64(std::string_view data, std::uint64_t seed) noexcept {
@@ -35,7 +41,7 @@
 sha256_digest sha256(std::string_view data) {
   sha256_digest out{};
   unsigned int n = 0;
-  if (EVP_Digest(data.data(), data.size(), out.data(), &n, EVP_sha256(), nullptr) != 1) {
+  if (EVP_Digest(data.data(), data.size(), out.data(), &n, sha256_method(), nullptr) != 1) {
     throw std::runtime_error("SHA-256 failed");
   }
   return out;
--- a/src/consensus/replica_snapshot.cpp
+++ b/src/consensus/replica_snapshot.cpp
@@ -114,6 +114,10 @@
   if (m.term < state_.term || role_ == role::leader || !is_storage_well()) {
     return;
   }
+  if (m.size > settings_.max_snapshot_bytes) {
+    ++malformed_;
+    return;
+  }
   if (m.term > state_.term || role_ != role::follower || leader_ != from) {
     become_follower(m.term, from, now);
   }
--- a/src/fleet/document_log.cpp
+++ b/src/fleet/document_log.cpp
@@ -14,6 +14,8 @@
 
 constexpr base::seconds named_number_retention{2}; // entries query every 500 ms; some get lost
 constexpr std::size_t part_bytes = 512U << 10U;
+/// A document, the parts of another one, and the evacuations.
+constexpr std::size_t max_snapshot_bytes = 2 * max_document_bytes + (64U << 10U);
 /// Greatest text of a document in one entry, which every build applies.
 constexpr std::size_t max_whole_bytes = consensus::max_payload_bytes - 256;
 
@@ -24,6 +26,7 @@
 
 consensus::replica_settings with_parts(consensus::replica_settings settings) {
   settings.format = format_with_parts;
+  settings.max_snapshot_bytes = max_snapshot_bytes;
   return settings;
 }
 
--- a/tests/fleet/large_documents_test.cpp
+++ b/tests/fleet/large_documents_test.cpp
@@ -230,6 +230,25 @@
   CHECK(f.entry->version() == 0);
 }
 
+// Guards against a leader that names a snapshot for which the receiver would take all its memory.
+TEST_CASE("a control instance receives no snapshot beyond the bound") {
+  small_fleet f;
+  f.run(base::seconds(4));
+  const auto leader = f.leader().log().leader();
+  auto& follower = *f.controls.at(leader == "c1" ? "c2" : "c1").log;
+  consensus::snapshot_chunk chunk;
+  chunk.term = f.leader().log().term();
+  chunk.index = 1000;
+  chunk.size = 3 * max_document_bytes;
+  chunk.data = "data";
+  const auto malformed = follower.log().malformed_messages();
+  follower.receive(leader, message_kind::log_snapshot_chunk, peer::pack(chunk), f.now);
+  CHECK(follower.log().malformed_messages() == malformed + 1);
+  chunk.size = 2 * max_document_bytes;
+  follower.receive(leader, message_kind::log_snapshot_chunk, peer::pack(chunk), f.now);
+  CHECK(follower.log().malformed_messages() == malformed + 1);
+}
+
 TEST_CASE("a document of several log entries is accepted, and whole on all control instances") {
   small_fleet f;
   f.run(base::seconds(4));
