--- a/include/kingcupshunt/base/hash.h
+++ b/include/kingcupshunt/base/hash.h
@@ -13,6 +13,11 @@
 
 using sha256_digest = std::array<std::uint8_t, 32>;
 
+/// The bytes of `digest`, valid as long as it.
+inline std::string_view bytes_of(const sha256_digest& digest) noexcept {
+  return {reinterpret_cast<const char*>(digest.data()), digest.size()};
+}
+
 /// SHA-256 of `data`.
 sha256_digest sha256(std::string_view data);
 
--- a/src/config/records.cpp
+++ b/src/config/records.cpp
@@ -20,10 +20,6 @@
      {"keys", record_kind::named_key},
      {"limits", record_kind::limits}}};
 
-std::string_view bytes_of(const base::sha256_digest& digest) {
-  return {reinterpret_cast<const char*>(digest.data()), digest.size()};
-}
-
 /// A key that states nothing but its workspace and the hash by which it is named.
 bool is_issued_key(const std::string& name, const json& entity, base::sha256_digest& digest) {
   return entity.is_object() && entity.size() == 2 && entity.contains("workspace") &&
@@ -50,11 +46,13 @@
 }
 
 record make_issued_key(const base::sha256_digest& sha256, std::string_view workspace) {
-  return {record_id(record_kind::issued_key, bytes_of(sha256)), std::string(workspace)};
+  return {record_id(record_kind::issued_key, base::bytes_of(sha256)), std::string(workspace)};
 }
 
 void normalize(record_list& records) {
-  std::ranges::stable_sort(records, {}, &record::id);
+  if (!std::ranges::is_sorted(records, {}, &record::id)) {
+    std::ranges::stable_sort(records, {}, &record::id);
+  }
   // From the back, the first record of each id is the one that stays.
   const auto removed = std::unique(records.rbegin(), records.rend(),
                                    [](const record& a, const record& b) { return a.id == b.id; });
--- a/src/config/snapshot.cpp
+++ b/src/config/snapshot.cpp
@@ -28,7 +28,7 @@
 }
 
 std::string digest_key(const base::sha256_digest& d) {
-  return {d.begin(), d.end()};
+  return std::string(base::bytes_of(d));
 }
 
 std::string prefix_key(std::string_view host, std::string_view prefix) {
--- a/src/fleet/document_log.cpp
+++ b/src/fleet/document_log.cpp
@@ -20,8 +20,7 @@
 constexpr std::size_t max_whole_bytes = consensus::max_payload_bytes - 256;
 
 std::string hash_of(std::string_view text) {
-  const auto digest = base::sha256(text);
-  return {digest.begin(), digest.end()};
+  return std::string(base::bytes_of(base::sha256(text)));
 }
 
 consensus::replica_settings with_parts(consensus::replica_settings settings) {
@@ -127,9 +126,12 @@
     done(true); // applied documents are committed
     return;
   }
+  if (!replica_.is_ready()) {
+    done(false);
+    return;
+  }
   auto payloads = payloads_of(document);
-  if (!replica_.is_ready() ||
-      (payloads.size() > 1 && replica_.least_format() < format_with_parts)) {
+  if (payloads.size() > 1 && replica_.least_format() < format_with_parts) {
     done(false);
     return;
   }
--- a/src/fleet/packed_document.cpp
+++ b/src/fleet/packed_document.cpp
@@ -25,8 +25,7 @@
   auto input = std::to_string(document.version) + ' ' + std::to_string(document.base) + ' ' +
                std::to_string(document.content_size) + '\n';
   input += document.bytes;
-  const auto digest = base::sha256(input);
-  return {digest.begin(), digest.end()};
+  return std::string(base::bytes_of(base::sha256(input)));
 }
 
 bool is_receivable(std::uint64_t size, std::uint64_t content_size) noexcept {
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -27,7 +27,7 @@
 }
 
 std::string key_string(const base::sha256_digest& key) {
-  return {key.begin(), key.end()};
+  return std::string(base::bytes_of(key));
 }
 
 } // namespace
--- a/src/state/document.cpp
+++ b/src/state/document.cpp
@@ -262,8 +262,8 @@
   for (const auto& [name, value] : part(delta, "keys").items()) {
     if (const auto it = changed.keys().find(name); it != changed.keys().end()) {
       const auto& digest = it->second->sha256;
-      BOOST_OUTCOME_TRY(place_key(
-          name, {it->second->workspace, std::string(digest.begin(), digest.end())}, undo));
+      BOOST_OUTCOME_TRY(
+          place_key(name, {it->second->workspace, std::string(base::bytes_of(digest))}, undo));
     }
   }
   return check_references(delta);
--- a/tests/fleet/large_documents_test.cpp
+++ b/tests/fleet/large_documents_test.cpp
@@ -2,8 +2,11 @@
 
 #include <doctest/doctest.h>
 
+#include <deque>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "small_fleet.h"
@@ -44,6 +47,20 @@
   return {version, content.dump()};
 }
 
+/// A document whose text takes `bytes` more than it needs.
+versioned_document padded(versioned_document document, std::size_t bytes) {
+  document.text += std::string(bytes, ' ');
+  return document;
+}
+
+/// Proposes the document to the leader. Empty while it is unanswered.
+std::shared_ptr<std::optional<bool>> propose(small_fleet& f, const versioned_document& document) {
+  auto answer = std::make_shared<std::optional<bool>>();
+  f.leader().propose(
+      document, [answer](bool ok) { *answer = ok; }, f.now);
+  return answer;
+}
+
 /// A fleet that expands its documents.
 struct expanding_fleet : small_fleet {
   expanding_fleet() {
@@ -52,9 +69,7 @@
   }
 
   std::optional<bool> change(const versioned_document& document) {
-    auto answer = std::make_shared<std::optional<bool>>();
-    leader().propose(
-        document, [answer](bool ok) { *answer = ok; }, now);
+    const auto answer = propose(*this, document);
     run(base::milliseconds(200));
     return *answer;
   }
@@ -135,8 +150,7 @@
       sent[m.from] += peer::unpack<document_piece>(m.body)->data.size();
     }
   };
-  f.leader().propose(
-      described(1, content), [](bool) {}, f.now);
+  propose(f, described(1, content));
   std::string source;
   const auto is_half_done = [&] {
     for (const auto& [from, bytes] : sent) {
@@ -173,15 +187,13 @@
       sent += peer::unpack<document_piece>(m.body)->data.size();
     }
   };
-  f.leader().propose(
-      described(1, content), [](bool) {}, f.now);
+  propose(f, described(1, content));
   std::uint64_t version = 1;
   for (int i = 0; i < 40; ++i) {
     f.run(base::milliseconds(50));
     auto next = content;
     next["first_key"] = ++version;
-    f.leader().propose(
-        described(version, next), [](bool) {}, f.now);
+    propose(f, described(version, next));
   }
   f.run(base::seconds(1));
   CHECK(f.entry->version() == version);
@@ -252,13 +264,10 @@
 TEST_CASE("a document of several log entries is accepted, and whole on all control instances") {
   small_fleet f;
   f.run(base::seconds(4));
-  auto large = document(1, "fitting");
-  large.text += std::string(3'000'000, ' ');
-  std::optional<bool> accepted;
-  f.leader().propose(
-      large, [&](bool ok) { accepted = ok; }, f.now);
+  const auto large = padded(document(1, "fitting"), 3'000'000);
+  auto accepted = propose(f, large);
   f.run(base::seconds(1));
-  CHECK(accepted == true);
+  CHECK(*accepted == true);
   for (const auto& [id, c] : f.controls) {
     CHECK(c.log->current().version == 1);
     CHECK(c.log->current().text == large.text);
@@ -273,19 +282,15 @@
 TEST_CASE("a lease is not renewed by instances that have yet to put a document in force") {
   small_fleet f;
   f.run(base::seconds(4));
-  f.leader().propose(
-      document(1, "fitting"), [](bool) {}, f.now);
+  propose(f, document(1, "fitting"));
   f.run(base::seconds(1));
   REQUIRE(f.entry->version() == 1);
   const auto applied = f.entry->lease().applied();
   f.holds_aside = true;
-  auto large = document(2, "orders");
-  large.text += std::string(max_inline_text_bytes, ' ');
-  std::optional<bool> accepted;
-  f.leader().propose(
-      large, [&](bool ok) { accepted = ok; }, f.now);
+  const auto large = padded(document(2, "orders"), max_inline_text_bytes);
+  auto accepted = propose(f, large);
   f.run(base::seconds(1));
-  CHECK(accepted == true);
+  CHECK(*accepted == true);
   CHECK(f.entry->version() == 1);
   CHECK(f.entry->lease().applied() == applied);
   f.holds_aside = false;
@@ -301,20 +306,16 @@
   f.run(base::seconds(4));
   REQUIRE(f.leader().log().is_leader());
   const auto former = f.leader().log().leader();
-  auto large = document(1, "fitting");
-  large.text += std::string(3'000'000, ' ');
-  std::optional<bool> accepted;
-  f.leader().propose(
-      large, [&](bool ok) { accepted = ok; }, f.now);
+  const auto large = padded(document(1, "fitting"), 3'000'000);
+  auto accepted = propose(f, large);
   f.run(3 * step); // the others have the first entries
   f.cut.insert(former);
   f.run(base::seconds(5));
-  CHECK(accepted != true);
+  CHECK(*accepted != true);
   CHECK(f.leader().current().version == 0);
-  f.leader().propose(
-      large, [&](bool ok) { accepted = ok; }, f.now);
+  accepted = propose(f, large);
   f.run(base::seconds(1));
-  CHECK(accepted == true);
+  CHECK(*accepted == true);
   CHECK(f.leader().current().text == large.text);
   f.cut.clear();
   f.run(base::seconds(3));
@@ -335,16 +336,12 @@
     }
   };
   f.run(base::seconds(1));
-  auto large = document(1, "fitting");
-  large.text += std::string(3'000'000, ' ');
-  std::optional<bool> accepted;
-  f.leader().propose(
-      large, [&](bool ok) { accepted = ok; }, f.now);
-  CHECK(accepted == false);
-  f.leader().propose(
-      document(2, "fitting"), [&](bool ok) { accepted = ok; }, f.now);
+  const auto large = padded(document(1, "fitting"), 3'000'000);
+  auto accepted = propose(f, large);
+  CHECK(*accepted == false);
+  accepted = propose(f, document(2, "fitting"));
   f.run(base::seconds(1));
-  CHECK(accepted == true);
+  CHECK(*accepted == true);
   CHECK(f.entry->version() == 2);
 }
 
@@ -353,8 +350,7 @@
 TEST_CASE("answers of an earlier build don't renew the lease while documents may come in parts") {
   small_fleet f;
   f.run(base::seconds(4));
-  f.leader().propose(
-      document(1, "fitting"), [](bool) {}, f.now);
+  propose(f, document(1, "fitting"));
   f.run(base::seconds(1));
   REQUIRE(f.entry->version() == 1);
   f.change_message = [&](small_fleet::message& m) {
