Take pieces of a document that come later than the time-out

What callers would see: on a path where an answer takes longer than the 600 ms that an entry waits for it, the entry asks the next control instance, refuses the answer when it comes, and never gets the document.

Cause: only the instance that was asked last was heard.

Change: the next piece is taken from any control instance that sends it. A piece at another offset answers an earlier request and is ignored; before, it made the fetch start over.

--- a/src/fleet/document_fetcher.cpp
+++ b/src/fleet/document_fetcher.cpp
@@ -91,9 +91,12 @@
                                                           const document_piece& piece,
                                                           std::uint64_t held,
                                                           base::time_point now) {
-  if (!is_waiting() || from != source_) {
-    return std::nullopt; // a late or doubled answer
+  const bool is_next = piece.offset == fetched_.bytes.size() &&
+                       (fetched_.bytes.empty() || piece.hash == fetched_.hash);
+  if (!is_waiting() || (from != source_ && !is_next)) {
+    return std::nullopt; // a doubled answer, or a late one that is of no use any more
   }
+  source_ = from;
   if (!is_acceptable(piece, held)) {
     if (piece.size != 0) {
       log("document_piece_refused",
@@ -117,9 +120,7 @@
     size_ = piece.size;
   }
   if (piece.offset != fetched_.bytes.size() || piece.size != size_) {
-    start_over(); // not what was asked for
-    ask_next(held, now);
-    return std::nullopt;
+    return std::nullopt; // answers an earlier request; the present one is repeated if need be
   }
   fetched_.bytes += piece.data;
   if (fetched_.bytes.size() < size_) {
--- a/tests/fleet/large_documents_test.cpp
+++ b/tests/fleet/large_documents_test.cpp
@@ -177,6 +177,30 @@
   CHECK(total <= whole_size(content) + 4 * document_piece_bytes);
 }
 
+// Guards against a path on which each answer takes longer than the entry waits for it, so that the
+// entry asks again and never takes one.
+TEST_CASE("a fetch makes progress where each answer is later than the time-out") {
+  expanding_fleet f;
+  std::deque<std::pair<base::time_point, small_fleet::message>> late;
+  f.change_message = [&](small_fleet::message& m) {
+    if (m.kind == message_kind::document_piece) {
+      late.emplace_back(f.now + base::milliseconds(700), m);
+      m.to = "nobody";
+    }
+  };
+  propose(f, described(1, {{"service", "s"}, {"keys", 20'000}}));
+  for (int i = 0; i < 700 && f.entry->version() == 0; ++i) {
+    f.run(step);
+    while (!late.empty() && late.front().first <= f.now) {
+      const auto m = std::move(late.front().second);
+      late.pop_front();
+      f.entry->receive(m.from, m.kind, m.body, f.now);
+    }
+  }
+  CHECK(f.entry->version() == 1);
+  CHECK(f.accepts_key(19'999));
+}
+
 // Guards against changes in quick succession that make a fetch start over each time.
 TEST_CASE("a newer version that comes during a fetch is fetched as changes after it") {
   const nlohmann::json content = {{"service", "s"}, {"keys", 50'000}};
