Keep the newer document when an older one is parsed after it

What callers would see: after a control instance has opened its log again (a disk that refused a write), its entries could go back to an older configuration.

While one is parsed, the log that is opened again names older documents once more, and the one parsed last was put in force.

Change: control_core::put_in_force takes only a version above the one in force.

Test: "a document that is parsed after a newer one does not take its place" (fleet); without the change the answer to an entry named version 4 instead of 5.

--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -80,10 +80,13 @@
     log("document_unreadable", content.error().message);
     return;
   }
-  documents_.add(version, std::move(content.value()));
   if (!pending_document_) {
     settled_index_.reset();
   }
+  if (version <= documents_.version()) {
+    return; // a reopened log named it again while a newer one was parsed
+  }
+  documents_.add(version, std::move(content.value()));
   log("document_in_force", "version=" + std::to_string(version));
   if (hooks_.on_content) {
     hooks_.on_content(documents_.records());
--- a/tests/fleet/large_documents_test.cpp
+++ b/tests/fleet/large_documents_test.cpp
@@ -324,6 +324,25 @@
   CHECK(f.entry->is_fresh());
 }
 
+// Guards against a log that is opened again, and names its documents again, while one is parsed.
+TEST_CASE("a document that is parsed after a newer one does not take its place") {
+  small_fleet f;
+  f.run(base::seconds(4));
+  auto& core = *f.controls.at("c1").core;
+  f.holds_aside = true;
+  core.on_document(padded(document(5, "fitting"), max_inline_text_bytes));
+  f.run(step);
+  core.on_document(padded(document(4, "orders"), max_inline_text_bytes));
+  f.holds_aside = false;
+  f.run(base::milliseconds(100));
+  f.net.clear();
+  core.receive("e9", message_kind::entry_ask, peer::pack(entry_ask{}), f.now);
+  REQUIRE(!f.net.empty());
+  const auto answer = peer::unpack<entry_answer>(f.net.back().body);
+  REQUIRE(answer);
+  CHECK(answer->document == 5);
+}
+
 // Guards against the beginning of a document that a leader left unfinished.
 TEST_CASE("a document of which only some entries survive is not in force and can be sent again") {
   small_fleet f;
