--- a/include/kingcupshunt/observe/event_log.h
+++ b/include/kingcupshunt/observe/event_log.h
@@ -28,7 +28,7 @@
 void log_warning(std::string_view name, std::initializer_list<field> fields);
 void log_error(std::string_view name, std::initializer_list<field> fields);
 
-/// Prepares glog to write to standard error. Call once before the first event.
+/// Prepares glog to write to standard error, and names the build. Call once before the first event.
 void start_logging(const char* program_name);
 
 } // namespace kingcupshunt::observe
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "command.h"
+#include "kingcupshunt/observe/build.h"
 
 namespace {
 
@@ -44,7 +45,7 @@
     return argc > 1 ? cli::exit_ok : cli::exit_usage;
   }
   if (name == "--version") {
-    std::cout << "kingcupshunt " << KINGCUPSHUNT_VERSION << '\n';
+    std::cout << observe::describe(observe::this_build()) << '\n';
     return cli::exit_ok;
   }
   for (const auto& it : subcommands) {
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -2,6 +2,8 @@
 
 #include <iostream>
 
+#include "kingcupshunt/observe/build.h"
+
 namespace kingcupshunt::cli {
 
 std::optional<cxxopts::ParseResult> parse_options(cxxopts::Options& options, arguments args,
@@ -15,7 +17,7 @@
       return std::nullopt;
     }
     if (parsed.count("version") > 0) {
-      std::cout << "kingcupshunt " << KINGCUPSHUNT_VERSION << '\n';
+      std::cout << observe::describe(observe::this_build()) << '\n';
       code = exit_ok;
       return std::nullopt;
     }
--- a/src/observe/event_log.cpp
+++ b/src/observe/event_log.cpp
@@ -2,6 +2,8 @@
 
 #include <glog/logging.h>
 
+#include "kingcupshunt/observe/build.h"
+
 namespace kingcupshunt::observe {
 
 namespace {
@@ -67,6 +69,8 @@
 void start_logging(const char* program_name) {
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(program_name);
+  const auto& b = this_build();
+  log_info("program", {{"version", b.version}, {"commit", b.commit}, {"sources", b.sources}});
 }
 
 } // namespace kingcupshunt::observe
