Check long configurations on the event loop where no thread can be started

Cause: the thread for long texts starts with the first one, and its failure to start was an exception on the event loop.

Change: node::side_thread runs the work on the event loop then, with a log line and a counter, and tries again with the next one.

--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/post.hpp>
-#include <boost/asio/thread_pool.hpp>
 #include <nlohmann/json.hpp>
 
 #include "kingcupshunt/config/snapshot.h"
@@ -14,6 +12,7 @@
 #include "log_disk.h"
 #include "role_runtime.h"
 #include "server_file.h"
+#include "side_thread.h"
 
 namespace kingcupshunt::node {
 
@@ -38,16 +37,17 @@
 struct control_node::impl {
   impl(const settings::role_settings& s, control_node_hooks h)
       : hooks(std::move(h)),
-        runtime(s, make_role_hooks(), settings::control_limits_of(s, most_descriptors())) {}
+        runtime(s, make_role_hooks(), settings::control_limits_of(s, most_descriptors())),
+        aside(runtime.io, aside_hooks()) {}
 
   role_hooks make_role_hooks();
+  side_thread_hooks aside_hooks();
   base::result<void, std::string> open();
   storage::log_store_settings store_settings() const;
   void open_log(opened_log found);
   log_disk_hooks disk_hooks();
   fleet::document_log_hooks log_hooks();
   void on_message(std::string_view from, message_kind kind, const std::string& body);
-  void run_aside(std::function<void()> work, std::function<void()> done);
   void on_document(const fleet::versioned_document& document);
   void on_content(const config::record_list& content);
   void store_servers(base::time_point now);
@@ -72,7 +72,7 @@
   std::uint64_t stored_position = 0; ///< of the server table
   base::time_point next_store{};
   std::unique_ptr<server_file> servers; ///< its thread is joined before the members above end
-  std::unique_ptr<boost::asio::thread_pool> aside; ///< of one thread; the same
+  side_thread aside;                    ///< the same
 };
 
 role_hooks control_node::impl::make_role_hooks() {
@@ -100,6 +100,15 @@
   return out;
 }
 
+side_thread_hooks control_node::impl::aside_hooks() {
+  side_thread_hooks out;
+  out.on_failure = [this](const std::string& reason) {
+    runtime.metrics.count("side_thread_failures_total");
+    observe::log_warning("thread_not_started", {{"reason", reason}});
+  };
+  return out;
+}
+
 base::result<void, std::string> control_node::impl::open() {
   const auto& s = runtime.settings;
   opened_log found;
@@ -125,7 +134,7 @@
   };
   core_hooks.parse = hooks.parse;
   core_hooks.run_aside = [this](std::function<void()> work, std::function<void()> done) {
-    run_aside(std::move(work), std::move(done));
+    aside.run(std::move(work), std::move(done));
   };
   core_hooks.on_content = [this](const config::record_list& content) { on_content(content); };
   core_hooks.is_connected = [this](std::string_view id) {
@@ -222,17 +231,6 @@
   return out;
 }
 
-/// Most instances never get a document that is long enough to need the thread.
-void control_node::impl::run_aside(std::function<void()> work, std::function<void()> done) {
-  if (!aside) {
-    aside = std::make_unique<boost::asio::thread_pool>(1);
-  }
-  boost::asio::post(*aside, [this, work = std::move(work), done = std::move(done)]() mutable {
-    work();
-    boost::asio::post(runtime.io, std::move(done));
-  });
-}
-
 void control_node::impl::on_document(const fleet::versioned_document& document) {
   core->on_document(document);
 }
@@ -361,7 +359,7 @@
 }
 
 void control_node::run_aside(std::function<void()> work, std::function<void()> done) {
-  impl_->run_aside(std::move(work), std::move(done));
+  impl_->aside.run(std::move(work), std::move(done));
 }
 
 void control_node::count(std::string_view name, std::string_view kind) {
--- a/tests/process/large_configurations_test.cpp
+++ b/tests/process/large_configurations_test.cpp
@@ -79,6 +79,18 @@
   CHECK(p.entry().peak_resident_kb() < std::size_t{control_memory_mb} * 1024);
 }
 
+// Guards against control processes that end with the first long configuration, since the system has
+// no thread left for checking it.
+TEST_CASE("a long configuration takes effect where a control process can start no thread") {
+  testing::entry_process p(limits());
+  p.control().limit_address_space(7'500); // less than the stack of a thread
+  const auto answer = p.replace(configuration(2, "/first/", 6'600, 0));
+  REQUIRE(answer);
+  CHECK(answer->status == 200);
+  CHECK(serves(p, "/first/x", 6'599));
+  CHECK(p.control().is_alive());
+}
+
 // Guards against a configuration that no instance can hold and that is neither acknowledged nor
 // refused.
 TEST_CASE("a configuration beyond the bound is refused at once with the bound") {
--- a/tests/process/watched_process.h
+++ b/tests/process/watched_process.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <doctest/doctest.h>
+
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
@@ -7,6 +9,7 @@
 #include <fstream>
 #include <sstream>
 #include <string>
+#include <sys/resource.h>
 #include <thread>
 #include <utility>
 
@@ -30,6 +33,13 @@
   std::size_t resident_kb() const { return status_field("VmRSS:"); }
   std::size_t peak_resident_kb() const { return status_field("VmHWM:"); }
 
+  /// Leaves the process room for `kb` more, which it maps from now on.
+  void limit_address_space(std::size_t kb) const {
+    const auto most = (status_field("VmSize:") + kb) * 1024;
+    const rlimit limit{most, most};
+    REQUIRE(prlimit(process_.id(), RLIMIT_AS, &limit, nullptr) == 0);
+  }
+
   std::size_t descriptors() const {
     std::error_code ec;
     std::size_t n = 0;
