Send load and permits in as many messages as they take

What callers would see in a fleet with thousands of servers: a report of the load, a sum of it or a grant of permits above 1 MiB is dropped, so that entries choose servers by what they know themselves and get no permits for limited ones. By reading, the bound was at about 30,000 servers with short names; at 1,800 with the longest names that records may have.

Change: in_messages() divides load_report and permit_grant into messages of at most 1,500 notes, each of which fits a frame with texts of max_record_text_bytes. All receivers apply them as changes, so that further ones need no order among each other; only the first one may be the full report.

Test: "load messages and permits fit into frames, whatever the number of servers" (fleet), at the greatest texts and numbers; all notes arrive once, in order.

--- a/include/kingcupshunt/fleet/messages.h
+++ b/include/kingcupshunt/fleet/messages.h
@@ -268,6 +268,13 @@
                      MSGPACK_NVP("d", demands))
 };
 
+/// Most notes in one load_report or permit_grant. Each has at most two texts of
+/// max_record_text_bytes, so that a message with as many fits a frame.
+inline constexpr std::size_t max_notes = 1500;
+
+/// `report` in as many messages as it takes. Only the first one may be full.
+std::vector<load_report> in_messages(load_report report);
+
 struct server_permits {
   std::string server;
   std::uint32_t permits = 0;
@@ -286,4 +293,7 @@
                      MSGPACK_NVP("g", age_ms))
 };
 
+/// `grant` in as many messages as it takes.
+std::vector<permit_grant> in_messages(permit_grant grant);
+
 } // namespace kingcupshunt::fleet
--- a/src/fleet/control_cold.cpp
+++ b/src/fleet/control_cold.cpp
@@ -1,6 +1,7 @@
 // Permits of a control instance for cold servers.
 
 #include <string>
+#include <utility>
 
 #include "kingcupshunt/fleet/control_core.h"
 
@@ -19,8 +20,10 @@
   for (const auto& [id, e] : entries_) {
     cold_.note_entry(id, e.data_centre, e.received_at);
   }
-  for (const auto& [to, grant] : cold_.issue(has_majority_contact(now), now)) {
-    hooks_.send(to, message_kind::permit_grant, peer::pack(grant));
+  for (auto& [to, grant] : cold_.issue(has_majority_contact(now), now)) {
+    for (const auto& part : in_messages(std::move(grant))) {
+      hooks_.send(to, message_kind::permit_grant, peer::pack(part));
+    }
   }
   if (cold_.size() != cold_logged_ && now >= cold_log_at_) {
     cold_logged_ = cold_.size();
--- a/src/fleet/control_relay.cpp
+++ b/src/fleet/control_relay.cpp
@@ -71,7 +71,9 @@
     out.limits.push_back({server, true, per_second, loads_.limited_in[server]});
   }
   if (!out.limits.empty() || !out.cold.empty()) {
-    hooks_.send(to, message_kind::load_total, peer::pack(out));
+    for (const auto& part : in_messages(std::move(out))) {
+      hooks_.send(to, message_kind::load_total, peer::pack(part));
+    }
   }
 }
 
@@ -118,8 +120,10 @@
   for (auto& p : loads_.permits.issue(recipients_of, now)) {
     grants[p.recipient].permits.push_back({std::move(p.server), p.permits});
   }
-  for (const auto& [to, grant] : grants) {
-    hooks_.send(to, message_kind::permit_grant, peer::pack(grant));
+  for (auto& [to, grant] : grants) {
+    for (const auto& part : in_messages(std::move(grant))) {
+      hooks_.send(to, message_kind::permit_grant, peer::pack(part));
+    }
   }
 }
 
@@ -134,9 +138,11 @@
   if (is_empty || loads_.reported_at.size() >= count_entries(now)) {
     return;
   }
-  const auto body = peer::pack(out);
-  for (const auto& control : controls_) {
-    hooks_.send(control, message_kind::failure_share, body);
+  for (const auto& part : in_messages(std::move(out))) {
+    const auto body = peer::pack(part);
+    for (const auto& control : controls_) {
+      hooks_.send(control, message_kind::failure_share, body);
+    }
   }
 }
 
@@ -166,9 +172,11 @@
   out.failures = std::exchange(loads_.failures, {});
   out.limits = std::exchange(loads_.limits, {});
   loads_.changed.clear();
-  const auto body = peer::pack(out);
-  for (const auto& [id, at] : loads_.reported_at) {
-    hooks_.send(id, message_kind::load_total, body);
+  for (const auto& part : in_messages(std::move(out))) {
+    const auto body = peer::pack(part);
+    for (const auto& [id, at] : loads_.reported_at) {
+      hooks_.send(id, message_kind::load_total, body);
+    }
   }
 }
 
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -471,7 +471,9 @@
   const bool is_empty = report.loads.empty() && report.failures.empty() && report.limits.empty() &&
                         report.demands.empty();
   if (report.is_full || !is_empty) {
-    runtime_.send(relay_, message_kind::load_pulse, peer::pack(report));
+    for (const auto& part : fleet::in_messages(std::move(report))) {
+      runtime_.send(relay_, message_kind::load_pulse, peer::pack(part));
+    }
   }
 }
 
--- a/tests/fleet/message_bounds_test.cpp
+++ b/tests/fleet/message_bounds_test.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <limits>
+#include <string>
 
 #include "kingcupshunt/fleet/messages.h"
 #include "kingcupshunt/rates/server_limit.h"
@@ -52,6 +53,52 @@
   CHECK(granted->cold[0].permits == rates::max_permits);
 }
 
+// Guards against loads of so many servers that the message which lists them is dropped.
+TEST_CASE("load messages and permits fit into frames, whatever the number of servers") {
+  const std::string longest(max_record_text_bytes - 6, 's');
+  const auto name = [&](int i) { return longest + std::to_string(100'000 + i); };
+  load_report report;
+  report.is_full = true;
+  report.stamp = 7;
+  permit_grant grant;
+  grant.stamp = 7;
+  for (int i = 0; i < 5000; ++i) {
+    report.loads.push_back({name(i), max_in_flight});
+    report.failures.push_back({name(i), failure_kind::late, UINT64_MAX, name(i), true});
+    report.limits.push_back({name(i), true, 1e6, name(i)});
+    report.cold.push_back({name(i), UINT32_MAX, 1e6, name(i), true});
+    report.demands.push_back({name(i), UINT32_MAX, UINT32_MAX});
+    grant.permits.push_back({name(i), UINT32_MAX});
+    grant.cold.push_back({name(i), UINT32_MAX});
+  }
+  report.limits.push_back({name(0), false, 0, name(0)}); // it has ended since
+  load_report all;
+  int full = 0;
+  for (const auto& part : in_messages(report)) {
+    CHECK(peer::pack(part).size() <= peer::max_body_bytes);
+    CHECK(part.stamp == 7);
+    full += part.is_full ? 1 : 0;
+    all.loads.insert(all.loads.end(), part.loads.begin(), part.loads.end());
+    all.failures.insert(all.failures.end(), part.failures.begin(), part.failures.end());
+    all.limits.insert(all.limits.end(), part.limits.begin(), part.limits.end());
+    all.cold.insert(all.cold.end(), part.cold.begin(), part.cold.end());
+    all.demands.insert(all.demands.end(), part.demands.begin(), part.demands.end());
+  }
+  CHECK(full == 1);
+  all.is_full = true;
+  all.stamp = 7;
+  CHECK(peer::pack(all) == peer::pack(report));
+  permit_grant permits;
+  permits.stamp = 7;
+  for (const auto& part : in_messages(grant)) {
+    CHECK(peer::pack(part).size() <= peer::max_body_bytes);
+    permits.permits.insert(permits.permits.end(), part.permits.begin(), part.permits.end());
+    permits.cold.insert(permits.cold.end(), part.cold.begin(), part.cold.end());
+  }
+  CHECK(peer::pack(permits) == peer::pack(grant));
+  CHECK(in_messages(load_report{}).size() == 1);
+}
+
 // Guards against a message of 1 MB that takes hundreds of times its size once read.
 TEST_CASE("a list of odd elements takes no memory for each of them") {
   msgpack::sbuffer buf;
