--- a/include/kingcupshunt/fleet/control_core.h
+++ b/include/kingcupshunt/fleet/control_core.h
@@ -160,6 +160,9 @@
   void apply_pending_document();
   void put_in_force(std::uint64_t version, document_result<config::record_list> content);
   std::uint64_t settled_index() const;
+  void announce_newest();
+  void notify_entries();
+  std::uint64_t newest_version() const;
   void announce_evacuations(); // control_evacuations.cpp
   void on_fetch(std::string_view from, const document_fetch& fetch, base::time_point now);
   void send_piece(std::string_view to, const document_fetch& fetch, base::time_point now);
@@ -212,6 +215,7 @@
   bool is_parsing_ = false;
   /// Log index before the oldest applied document that is not in force here yet.
   std::optional<std::uint64_t> settled_index_;
+  std::uint64_t announced_newest_ = 0; ///< version named to the entries before it was in force
   evacuation_set evacuations_;
   evacuation_set announced_evacuations_; ///< as last logged and sent to the entries
   std::map<std::uint64_t, pending_share> shares_;
--- a/include/kingcupshunt/fleet/document_fetcher.h
+++ b/include/kingcupshunt/fleet/document_fetcher.h
@@ -25,11 +25,21 @@
   std::function<void(std::string_view event, std::string_view detail)> log; ///< may be empty
 };
 
+/// How a document was fetched, for the log.
+struct fetch_course {
+  base::time_point asked_at{}; ///< for the first time
+  base::time_point first_at{}; ///< its first piece came
+  base::time_point whole_at{};
+  std::size_t requests = 0;
+  std::size_t pieces = 0;
+};
+
 /// A document that is complete, and its hash agrees.
 struct fetched_document {
   packed_document document;
   std::uint64_t applied = 0;     ///< see document_piece
   std::uint64_t evacuations = 0; ///< see document_piece
+  fetch_course course;
 };
 
 /// Fetches the newest document from the control instances, one piece after another. After a cut it
@@ -63,7 +73,7 @@
   std::string choose_source(std::uint64_t held) const;
   void ask(const std::string& control, std::uint64_t held, base::time_point now);
   void ask_next(std::uint64_t held, base::time_point now);
-  void start_over() { fetched_ = {}; }
+  void start_over();
   void log(std::string_view event, const std::string& detail) const;
 
   document_fetcher_settings settings_;
@@ -72,6 +82,7 @@
   std::set<std::string, std::less<>> passed_over_;             ///< asked in vain for this document
   packed_document fetched_;                                    ///< `bytes` grows
   std::uint64_t size_ = 0;          ///< of `fetched_.bytes` when it is complete
+  fetch_course course_;             ///< of `fetched_`
   std::string source_;              ///< asked last
   base::time_point answer_until_{}; ///< default: nothing is asked
   base::time_point pause_until_{};
--- a/include/kingcupshunt/fleet/entry_link.h
+++ b/include/kingcupshunt/fleet/entry_link.h
@@ -26,6 +26,7 @@
   std::string data_centre;
   std::string tunnel_address;              ///< "ip:port" for other entries; may be empty
   base::duration lease = base::seconds(3); ///< see entry_lease
+  base::duration apply_time = base::milliseconds(1600); ///< see is_outdated
   base::duration query_interval = base::milliseconds(500);
   base::duration initial_query_interval = base::milliseconds(100); ///< until the lease is valid
   base::duration fetch_timeout = base::milliseconds(600);
@@ -71,6 +72,9 @@
 
   bool is_fresh() const { return lease_.is_valid(base::boot_clock::now()); }
   bool has_document() const noexcept { return version_ > 0; }
+  /// A newer document was committed longer ago than apply_time, and a control instance still says
+  /// so. An entry that hears none can't know, and is not outdated by that.
+  bool is_outdated(base::time_point now) const noexcept;
   std::uint64_t version() const noexcept { return version_; }
   const config::snapshot& configuration() const noexcept { return configuration_; }
   /// Data centres whose servers get no requests, as last known here.
@@ -117,13 +121,16 @@
   void on_content(const document_content& content, base::time_point now);
   void on_piece(std::string_view from, const document_piece& piece, base::time_point now);
   void read_arriving(base::time_point now);
-  void put_in_force(std::uint64_t version, std::uint64_t base, const config::change_set& changes);
+  std::string describe(const fetch_course& course, base::time_point now) const;
+  void put_in_force(std::uint64_t version, std::uint64_t base, const config::change_set& changes,
+                    std::string_view origin);
   void refuse_document(const config::error& error, base::time_point now);
   void apply_evacuations(const evacuation_set& evacuations);
   bool is_applied(std::uint64_t evacuations, bool knows_evacuations, base::time_point now);
   bool knows_document(std::uint32_t format, base::time_point now);
   bool is_sound(const server_record& record);
   void apply_table(control& c, const table_part& part, base::time_point now);
+  void note_newest(std::uint64_t version, base::time_point now);
   void fetch(std::string_view from, std::uint64_t version, base::time_point now);
 
   entry_link_settings settings_;
@@ -133,6 +140,8 @@
   server_table table_;
   config::snapshot configuration_;
   std::uint64_t version_ = 0;
+  std::map<std::uint64_t, base::time_point> newer_; ///< newer versions, when first named here
+  base::time_point newer_named_at_{};               ///< when one was named last
   evacuation_set evacuations_;
   base::time_point evacuations_known_at_{}; ///< last message of a sender that knows them
   base::time_point parts_known_at_{};       ///< last message of a sender that applies parts
--- a/include/kingcupshunt/fleet/messages.h
+++ b/include/kingcupshunt/fleet/messages.h
@@ -86,6 +86,7 @@
   bool knows_evacuations = false; ///< false: a build that ignores the orders in its log
   evacuation_set evacuations; ///< after `applied`; only the number when the query names the same
   std::uint32_t format = 0;   ///< of the log entries that the sender applies
+  std::uint64_t newest = 0;   ///< as in commit_notice
 
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("q", sequence), MSGPACK_NVP("v", is_voter), MSGPACK_NVP("h", held),
                      MSGPACK_NVP("a", applied), MSGPACK_NVP("d", document),
@@ -93,14 +94,17 @@
                      MSGPACK_NVP("vi", voters_index), MSGPACK_NVP("n", entries),
                      MSGPACK_NVP("tu", tunnels), MSGPACK_NVP("t", table),
                      MSGPACK_NVP("ke", knows_evacuations), MSGPACK_NVP("ev", evacuations),
-                     MSGPACK_NVP("fo", format))
+                     MSGPACK_NVP("fo", format), MSGPACK_NVP("nw", newest))
 };
 
-/// A control instance has applied a further document or other evacuations (commit_notice).
+/// A control instance has learned of a further document, has put it in force, or has applied other
+/// evacuations (commit_notice).
 struct commit_notice {
-  std::uint64_t document = 0;
+  std::uint64_t document = 0; ///< version in force at the sender, which others can fetch
   evacuation_set evacuations;
-  MSGPACK_DEFINE_MAP(MSGPACK_NVP("d", document), MSGPACK_NVP("ev", evacuations))
+  std::uint64_t newest = 0; ///< version that is committed, perhaps not in force there yet
+  MSGPACK_DEFINE_MAP(MSGPACK_NVP("d", document), MSGPACK_NVP("ev", evacuations),
+                     MSGPACK_NVP("nw", newest))
 };
 
 /// Requests the newest document, or the next piece of one (document_fetch). Builds that do not read
--- a/include/kingcupshunt/settings/role_settings.h
+++ b/include/kingcupshunt/settings/role_settings.h
@@ -20,7 +20,8 @@
 
 /// Bounds and shares that entry and control instances agree on.
 struct role_bounds {
-  base::duration lease = base::seconds(3); ///< of an entry without a control majority
+  base::duration lease = base::seconds(3);              ///< of an entry without a control majority
+  base::duration apply_time = base::milliseconds(1600); ///< see fleet::entry_link::is_outdated
   base::duration beat_interval = base::milliseconds(1500); ///< of backend servers
   base::duration stop_grace = base::seconds(6);            ///< from the request to stop to a kill
   base::duration address_lifetime = base::milliseconds(1500); ///< of an answer to callers
--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -53,15 +53,22 @@
 
 void control_core::apply_pending_document() {
   announce_evacuations();
-  if (!pending_document_ || is_parsing_) {
+  if (!pending_document_) {
+    return;
+  }
+  if (is_parsing_) {
+    announce_newest();
     return;
   }
   auto document = *std::exchange(pending_document_, std::nullopt);
   const auto version = document.version;
+  log("document_committed",
+      "version=" + std::to_string(version) + " bytes=" + std::to_string(document.text.size()));
   if (!hooks_.run_aside || document.text.size() <= max_inline_text_bytes) {
     put_in_force(version, hooks_.parse(document.text));
     return;
   }
+  announce_newest();
   is_parsing_ = true;
   const auto result = std::make_shared<std::optional<document_result<config::record_list>>>();
   hooks_.run_aside(
@@ -91,12 +98,29 @@
   if (hooks_.on_content) {
     hooks_.on_content(documents_.records());
   }
-  const auto notice = peer::pack(commit_notice{version, evacuations_});
+  notify_entries();
+}
+
+/// Tells the entries at once that a document is committed, however long it takes to put it in force
+/// here, since they may go on with the former one for a limited time only.
+void control_core::announce_newest() {
+  if (std::exchange(announced_newest_, newest_version()) != announced_newest_) {
+    notify_entries();
+  }
+}
+
+void control_core::notify_entries() {
+  const auto notice =
+      peer::pack(commit_notice{documents_.version(), evacuations_, newest_version()});
   for (const auto& [id, e] : entries_) {
     hooks_.send(id, message_kind::commit_notice, notice);
   }
 }
 
+std::uint64_t control_core::newest_version() const {
+  return std::max(documents_.version(), log_ == nullptr ? 0 : log_->current().version);
+}
+
 void control_core::receive(std::string_view from, message_kind kind, std::string_view body,
                            base::time_point now) {
   bool is_ok = false;
@@ -168,6 +192,7 @@
   answer.held = replica.last_index();
   answer.applied = settled_index();
   answer.document = documents_.version();
+  answer.newest = newest_version();
   answer.data_centre = settings_.data_centre;
   answer.voters_index = replica.voters_index();
   if (query.voters_index != answer.voters_index) {
--- a/src/fleet/control_evacuations.cpp
+++ b/src/fleet/control_evacuations.cpp
@@ -4,8 +4,6 @@
 
 namespace kingcupshunt::fleet {
 
-using peer::message_kind;
-
 /// A reopened log applies its entries again, so older sets are ignored.
 void control_core::on_evacuations(const evacuation_set& evacuations) {
   if (evacuations.number > evacuations_.number) {
@@ -23,10 +21,7 @@
                                  " data_centres=" + evacuations_.describe() +
                                  " before=" + announced_evacuations_.describe());
   announced_evacuations_ = evacuations_;
-  const auto notice = peer::pack(commit_notice{documents_.version(), evacuations_});
-  for (const auto& [id, e] : entries_) {
-    hooks_.send(id, message_kind::commit_notice, notice);
-  }
+  notify_entries();
 }
 
 } // namespace kingcupshunt::fleet
--- a/src/fleet/document_fetcher.cpp
+++ b/src/fleet/document_fetcher.cpp
@@ -78,6 +78,8 @@
   out.reads_pieces = true;
   out.hash = fetched_.hash;
   out.offset = fetched_.bytes.size();
+  course_.asked_at = course_.requests == 0 ? now : course_.asked_at;
+  ++course_.requests;
   hooks_.send(control, message_kind::document_fetch, peer::pack(out));
 }
 
@@ -118,16 +120,20 @@
     passed_over_.clear();
     fetched_ = {piece.version, piece.base, piece.content_size, {}, piece.hash};
     size_ = piece.size;
+    course_.first_at = now;
+    course_.pieces = 0;
   }
   if (piece.offset != fetched_.bytes.size() || piece.size != size_) {
     return std::nullopt; // answers an earlier request; the present one is repeated if need be
   }
   fetched_.bytes += piece.data;
+  ++course_.pieces;
   if (fetched_.bytes.size() < size_) {
     ask_next(held, now);
     return std::nullopt;
   }
   answer_until_ = {};
+  course_.whole_at = now;
   auto whole = std::exchange(fetched_, {});
   if (hash_of(whole) != whole.hash) {
     log("document_damaged", "from=" + source_ + " version=" + std::to_string(whole.version));
@@ -136,7 +142,13 @@
     return std::nullopt;
   }
   passed_over_.clear();
-  return fetched_document{std::move(whole), piece.applied, piece.evacuations};
+  return fetched_document{std::move(whole), piece.applied, piece.evacuations,
+                          std::exchange(course_, {})};
+}
+
+void document_fetcher::start_over() {
+  fetched_ = {};
+  course_ = {};
 }
 
 void document_fetcher::reset() {
--- a/src/fleet/entry_link.cpp
+++ b/src/fleet/entry_link.cpp
@@ -21,6 +21,7 @@
 constexpr base::seconds knowing_sender_retention{2};
 constexpr base::seconds gone_retention{60}; // of records; departures are kept for longer
 constexpr base::seconds cleanup_interval{10};
+constexpr std::size_t max_newer_versions = 64; // a further one is noted when it is named again
 
 } // namespace
 
@@ -164,6 +165,7 @@
   case message_kind::commit_notice:
     is_ok = peer::handle<commit_notice>(body, [&](const auto& m) {
       apply_evacuations(m.evacuations);
+      note_newest(std::max(m.document, m.newest), now);
       fetch(from, m.document, now);
     });
     break;
@@ -216,6 +218,7 @@
     }
     hooks_.on_controls();
   }
+  note_newest(std::max(answer.document, answer.newest), now);
   fetch(from, answer.document, now);
 }
 
@@ -303,6 +306,21 @@
   }
 }
 
+void entry_link::note_newest(std::uint64_t version, base::time_point now) {
+  if (version <= version_) {
+    return;
+  }
+  newer_named_at_ = now;
+  if (newer_.empty() || (version > newer_.rbegin()->first && newer_.size() < max_newer_versions)) {
+    newer_.emplace(version, now);
+  }
+}
+
+bool entry_link::is_outdated(base::time_point now) const noexcept {
+  return !newer_.empty() && now - newer_.begin()->second > settings_.apply_time &&
+         now - newer_named_at_ < settings_.relay_timeout;
+}
+
 /// A document from a control instance that sends no pieces.
 void entry_link::on_content(const document_content& content, base::time_point now) {
   if (content.version <= version_ || (content.base != 0 && content.base != version_)) {
@@ -318,7 +336,7 @@
   }
   // Later changes may come from an instance that sends pieces.
   config::issue_keys_named_by_hash(changes.value());
-  put_in_force(content.version, content.base, changes.value());
+  put_in_force(content.version, content.base, changes.value(), "pieces=0");
   if (is_applied(content.evacuations, content.knows_evacuations, now) && knows_document(0, now)) {
     lease_.set_applied(content.applied);
   }
@@ -362,22 +380,37 @@
   if (document.version <= version_ || (document.base != 0 && document.base != version_)) {
     return; // overtaken by a document in one message
   }
-  put_in_force(document.version, document.base, done->changes);
+  put_in_force(document.version, document.base, done->changes, describe(done->fetched.course, now));
   if (is_applied(done->fetched.evacuations, true, now)) {
     lease_.set_applied(done->fetched.applied);
   }
   fetcher_.tick(version_, now);
 }
 
+/// Milliseconds since a newer version than the one held was named here. Together with the log of
+/// the control instances, they show where a document that came late has spent its time.
+std::string entry_link::describe(const fetch_course& course, base::time_point now) const {
+  const auto start = newer_.empty() ? course.asked_at : newer_.begin()->second;
+  const auto ms = [&](base::time_point at) {
+    return std::to_string(std::chrono::duration_cast<base::milliseconds>(at - start).count());
+  };
+  return "pieces=" + std::to_string(course.pieces) +
+         " requests=" + std::to_string(course.requests) + " asked_ms=" + ms(course.asked_at) +
+         " first_ms=" + ms(course.first_at) + " whole_ms=" + ms(course.whole_at) +
+         " in_force_ms=" + ms(now);
+}
+
 void entry_link::put_in_force(std::uint64_t version, std::uint64_t base,
-                              const config::change_set& changes) {
+                              const config::change_set& changes, std::string_view origin) {
   auto next = base == 0 ? config::snapshot{} : configuration_;
   next.apply(changes);
   configuration_ = std::move(next);
   version_ = version;
+  newer_.erase(newer_.begin(), newer_.upper_bound(version_));
   hooks_.on_document(configuration_);
   if (hooks_.log) {
-    hooks_.log("document_in_force", "version=" + std::to_string(version_));
+    hooks_.log("document_in_force", "version=" + std::to_string(version_) + " base=" +
+                                        std::to_string(base) + ' ' + std::string(origin));
   }
 }
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -98,7 +98,10 @@
   fleet::entry_link_hooks link_hooks();
   base::result<void, std::string> open();
   void on_message(std::string_view from, message_kind kind, const std::string& body);
-  bool is_ready() const { return !is_leaving && link.has_document() && link.is_fresh(); }
+  bool is_ready() const {
+    return !is_leaving && link.has_document() && link.is_fresh() &&
+           !link.is_outdated(base::clock::now());
+  }
   void begin_stop();
   void close_entry(base::time_point stop_at);
   void end_listener();
@@ -155,6 +158,7 @@
     out.tunnel_address = runtime.settings.tunnel.to_string();
   }
   out.lease = runtime.settings.bounds.lease;
+  out.apply_time = runtime.settings.bounds.apply_time;
   return out;
 }
 
--- a/src/node/entry_traffic.cpp
+++ b/src/node/entry_traffic.cpp
@@ -23,7 +23,7 @@
 constexpr double hedge_factor = 2.5;
 constexpr base::milliseconds min_hedge_delay{150};
 /// Until the next answers of the control instances.
-constexpr base::milliseconds lease_retry_after{500};
+constexpr base::milliseconds no_server_retry_after{500};
 /// From process start until it serves, when all instances start at once.
 constexpr base::milliseconds typical_start_time{700};
 constexpr base::milliseconds min_start_retry_after{250};
@@ -165,15 +165,13 @@
     return not_run(503, "no_configuration", "no configuration has been received yet",
                    std::max(remaining, min_start_retry_after));
   }
-  const bool is_fresh = link_.is_fresh();
   const auto& configuration = link_.configuration();
   proxy::authorized_request out;
   out.route = configuration.find_route(head.host, head.method, head.path);
   // Without a lease, a newer configuration may allow a request that this one denies.
   const bool is_denied_here = !out.route || !out.route->is_open;
-  if (!is_fresh && is_denied_here) {
-    return not_run(503, "stale_configuration", "no contact with a majority of control instances",
-                   lease_retry_after);
+  if (auto refused = refusal_of_age(is_denied_here, now)) {
+    return std::move(*refused);
   }
   const auto limits = configuration.entry_limits();
   if (limits && head.content_length.value_or(0) > limits->body_bytes) {
@@ -256,9 +254,8 @@
                                                            const std::vector<std::string>& tried) {
   const auto now = base::clock::now();
   // The lease may have expired while the request waited or the process was paused.
-  if (!request.route->is_open && !link_.is_fresh()) {
-    return not_run(503, "stale_configuration", "no contact with a majority of control instances",
-                   lease_retry_after);
+  if (auto refused = refusal_of_age(!request.route->is_open, now)) {
+    return std::move(*refused);
   }
   if (auto refused = refusal_of_path()) {
     return std::move(*refused);
@@ -281,7 +278,7 @@
     }
     switch (chosen.error()) {
     case balance::board_error::unknown_service:
-      return not_run(503, "no_server", "no server of the service is known", lease_retry_after);
+      return not_run(503, "no_server", "no server of the service is known", no_server_retry_after);
     case balance::board_error::all_evacuated:
       return refusal_of_evacuation();
     case balance::board_error::all_streaming:
--- a/src/node/entry_traffic.h
+++ b/src/node/entry_traffic.h
@@ -73,6 +73,7 @@
   void note_connection(const proxy::connection_outcome& outcome);
   void note_attempt(health::attempt& a, base::time_point now);
   std::optional<proxy::refusal> refusal_of_path();
+  std::optional<proxy::refusal> refusal_of_age(bool needs_lease, base::time_point now) const;
   std::string host_of(std::string_view server) const;
   void probe_paths(base::time_point now);
   void probe_path(balance::probe_way way, const fleet::server_record& server);
