--- a/tests/fleet/small_fleet.h
+++ b/tests/fleet/small_fleet.h
@@ -249,6 +249,21 @@
   return {version, all.dump()};
 }
 
+/// A document whose text takes `bytes` more than it needs.
+inline versioned_document padded(versioned_document document, std::size_t bytes) {
+  document.text += std::string(bytes, ' ');
+  return document;
+}
+
+/// Proposes the document to the leader. Empty while it is unanswered.
+inline std::shared_ptr<std::optional<bool>> propose(small_fleet& f,
+                                                    const versioned_document& document) {
+  auto answer = std::make_shared<std::optional<bool>>();
+  f.leader().propose(
+      document, [answer](bool ok) { *answer = ok; }, f.now);
+  return answer;
+}
+
 inline server_record server(const std::string& id, std::uint64_t sequence, server_state state) {
   server_record r;
   r.id = id;
