--- a/src/fleet/control_core.cpp
+++ b/src/fleet/control_core.cpp
@@ -104,7 +104,9 @@
 /// Tells the entries at once that a document is committed, however long it takes to put it in force
 /// here, since they may go on with the former one for a limited time only.
 void control_core::announce_newest() {
-  if (std::exchange(announced_newest_, newest_version()) != announced_newest_) {
+  const auto newest = newest_version();
+  if (newest != announced_newest_) {
+    announced_newest_ = newest;
     notify_entries();
   }
 }
--- a/src/node/entry_freshness.cpp
+++ b/src/node/entry_freshness.cpp
@@ -1,6 +1,7 @@
 // How old the configuration may be by which an entry serves a request.
 
 #include "entry_traffic.h"
+#include "request_facts.h"
 
 namespace kingcupshunt::node {
 
@@ -14,8 +15,7 @@
 std::optional<proxy::refusal> entry_traffic::refusal_of_age(bool needs_lease,
                                                             base::time_point now) const {
   const auto refused = [](const char* message) {
-    return proxy::refusal{503, "stale_configuration", message, proxy::ran_state::no,
-                          stale_retry_after};
+    return not_run(503, "stale_configuration", message, stale_retry_after);
   };
   if (needs_lease && !link_.is_fresh()) {
     return refused("no contact with a majority of control instances");
